--- a/packages/base/include/base/result_type.h
+++ b/packages/base/include/base/result_type.h
@@ -89,6 +89,7 @@
   kPeerNotMember = 706,
   kPeerTooLarge = 707,
   kPeerRefused = 708,
+  kPeerNoAnswer = 709,
 
   kSettingsInvalid = 800,
   kSettingsUnreadable = 801,
--- a/packages/base/include/base/table/result_table.h
+++ b/packages/base/include/base/table/result_table.h
@@ -81,6 +81,7 @@
     ResultInfo{ResultCode::kPeerNotMember, "peer_not_member", 403, RunState::kNotRun, false, "The sender is not a member.", "It must join first."},
     ResultInfo{ResultCode::kPeerTooLarge, "peer_too_large", 413, RunState::kNotRun, false, "A message from a peer exceeds the size limit.", "Check that all daemons run compatible versions."},
     ResultInfo{ResultCode::kPeerRefused, "peer_refused", 503, RunState::kNotRun, true, "The peer refused the call.", "It is tried again."},
+    ResultInfo{ResultCode::kPeerNoAnswer, "peer_no_answer", 504, RunState::kMayHaveRun, true, "The peer did not answer in time; it may have handled the call.", "It is tried again where a repeat does no harm."},
 
     ResultInfo{ResultCode::kSettingsInvalid, "settings_invalid", 400, RunState::kNotRun, false, "The settings have faults.", "Correct the listed faults; see docs/CONFIG.md."},
     ResultInfo{ResultCode::kSettingsUnreadable, "settings_unreadable", 400, RunState::kNotRun, false, "The settings file cannot be read.", "Check the path and its permissions."},
