--- a/packages/membership/include/membership/membership_state_type.h
+++ b/packages/membership/include/membership/membership_state_type.h
@@ -60,6 +60,11 @@
   /// Lifetime of application updates.
   Duration crash_lifetime = std::chrono::minutes(10);
   Duration leaving_lifetime = std::chrono::minutes(60);
+  /// A member spreads its own report if digests still differ this long after
+  /// it changed; at 1,300 members a HeldSetUpdate has reached all by then.
+  Duration report_delay = std::chrono::seconds(8);
+  /// Between checks of all members for expired times.
+  Duration sweep_interval = std::chrono::milliseconds(100);
   size_t max_members = 8192;           ///< Further ones are not recorded.
   size_t max_leaving_backends = 4096;  ///< Beyond, the oldest is dropped.
   size_t max_crashes = 1024;           ///< Beyond, the oldest is dropped.
@@ -141,6 +146,10 @@
   TimePoint last_tick;     ///< Of the previous Tick; epoch at first.
   TimePoint lease_end;     ///< End of the serving lease.
 
+  HeldSetUpdate held_set;  ///< Members known to hold the highest revision.
+  std::optional<TimePoint> report_due;  ///< See report_delay.
+  TimePoint next_sweep;                 ///< See sweep_interval.
+
   std::map<UpdateKey, QueuedUpdate> updates;          ///< Being spread.
   std::map<std::string, TimePoint> leaving_backends;  ///< With their ends.
   std::map<std::pair<uint64_t, MemberId>, CrashEntry> crashes;
--- a/packages/membership/include/membership/message_type.h
+++ b/packages/membership/include/membership/message_type.h
@@ -40,7 +40,10 @@
   }
 };
 
-/** A member's held revision or member-set digest changed. */
+/**
+ * A member's held revision or member-set digest. Spread only while digests
+ * differ, see HeldSetUpdate.
+ */
 struct ReportUpdate {
   MemberId member;      ///< Whose report.
   MemberReport report;  ///< New report.
@@ -51,6 +54,23 @@
   }
 };
 
+/**
+ * Which members hold a configuration revision, in one bit each. Only members
+ * with the same member-set digest understand it. In this form the news that
+ * all members hold a revision takes n/8 bytes, where one report of each member
+ * would take 36n.
+ */
+struct HeldSetUpdate {
+  uint64_t set_digest = 0;  ///< Digest that all members of the set reported.
+  ConfigRevision revision;  ///< Revision that they hold, or a higher one.
+  std::string bits;  ///< Bit i: the known member with the i-th lowest id.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->set_digest, this->revision, this->bits);
+  }
+};
+
 /** A backend server is leaving. */
 struct BackendLeavingUpdate {
   std::string instance;  ///< Name in the instance list.
@@ -78,7 +98,8 @@
                             StatusUpdate,
                             ReportUpdate,
                             BackendLeavingUpdate,
-                            CrashUpdate>;
+                            CrashUpdate,
+                            HeldSetUpdate>;
 
 /** Asks a member for a sign of life and a serving lease. */
 struct Ping {
--- a/packages/membership/src/membership_func.cc
+++ b/packages/membership/src/membership_func.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "context.h"
+#include "held_set_cmd.h"
 #include "probe_cmd.h"
 #include "table_cmd.h"
 #include "update_cmd.h"
@@ -128,9 +129,13 @@
     PostponeTimers(context, gap);
   }
   state.last_tick = context.now;
-  FailSuspects(context);
-  ForgetMembers(context);
-  DropExpiredUpdates(context);
+  if (context.now >= state.next_sweep) {
+    state.next_sweep = context.now + state.options.sweep_interval;
+    FailSuspects(context);
+    ForgetMembers(context);
+    DropExpiredUpdates(context);
+    SpreadOwnReport(context);
+  }
   JoinSeeds(context);
   RunProbes(context);
 }
@@ -153,6 +158,8 @@
   state.next_probe = now + Duration(phase);
   state.digest_changed_at = now;
   state.self.report.set_digest = MemberSetDigest(state);
+  std::vector<MembershipEffect> effects;
+  RenewHeldSet(Context{state, now, effects});
   return state;
 }
 
--- a/packages/membership/src/probe_cmd.cc
+++ b/packages/membership/src/probe_cmd.cc
@@ -208,7 +208,7 @@
     ApplyStatus(context,
                 StatusUpdate{sender, MemberStatus::kAlive, incarnation});
   }
-  ApplyReport(context, ReportUpdate{sender, report});
+  ApplyReport(context, ReportUpdate{sender, report}, false);
   CompareDigest(context, *entry);
 }
 
--- a/packages/membership/src/query_func.cc
+++ b/packages/membership/src/query_func.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/digest_func.h"
+#include "held_set_cmd.h"
 #include "membership/membership_func.h"
 #include "table_cmd.h"
 
@@ -105,18 +106,9 @@
 }
 
 uint64_t MemberSetDigest(const MembershipState& state) {
-  std::vector<uint64_t> ids;
-  if (state.self.status != MemberStatus::kLeaving) {
-    ids.push_back(state.self.id.value);
-  }
-  for (const auto& [id, entry] : state.members) {
-    if (IsKnown(entry)) {
-      ids.push_back(id.value);
-    }
-  }
-  std::sort(ids.begin(), ids.end());
+  const std::vector<MemberId> ids = KnownIds(state);
   return Hash64(std::string_view(reinterpret_cast<const char*>(ids.data()),
-                                 ids.size() * sizeof(uint64_t)));
+                                 ids.size() * sizeof(MemberId)));
 }
 
 bool DigestsAgree(const MembershipState& state) {
--- a/packages/membership/src/table_cmd.cc
+++ b/packages/membership/src/table_cmd.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "held_set_cmd.h"
 #include "membership/membership_func.h"
 #include "update_cmd.h"
 
@@ -130,9 +131,20 @@
 }
 
 void PublishOwnReport(const Context& context) {
-  Member& self = context.state.self;
-  ++self.report.number;
-  QueueUpdate(context, ReportUpdate{self.id, self.report});
+  ++context.state.self.report.number;
+  context.state.report_due = context.now + context.state.options.report_delay;
+  RenewHeldSet(context);
+}
+
+void SpreadOwnReport(const Context& context) {
+  MembershipState& state = context.state;
+  if (!state.report_due || context.now < *state.report_due) {
+    return;
+  }
+  state.report_due.reset();
+  if (!DigestsAgree(state)) {
+    QueueUpdate(context, ReportUpdate{state.self.id, state.self.report});
+  }
 }
 
 void RefreshDigest(const Context& context) {
@@ -161,7 +173,13 @@
     return;
   }
   ApplyStatus(context, status);
-  ApplyReport(context, ReportUpdate{member.id, member.report});
+  // The digest in a record that others pass on is often older than the one
+  // learnt from a HeldSetUpdate, so only the revision is taken.
+  MemberEntry& entry = context.state.members.at(member.id);
+  if (member.report.held_revision > entry.member.report.held_revision) {
+    entry.member.report.held_revision = member.report.held_revision;
+    context.Emit(MemberChanged{entry.member, entry.member.status});
+  }
 }
 
 void ApplyStatus(const Context& context, const StatusUpdate& update) {
@@ -202,7 +220,9 @@
   RefreshDigest(context);
 }
 
-void ApplyReport(const Context& context, const ReportUpdate& update) {
+void ApplyReport(const Context& context,
+                 const ReportUpdate& update,
+                 bool is_spread) {
   const auto found = context.state.members.find(update.member);
   if (found == context.state.members.end()) {
     return;
@@ -211,12 +231,17 @@
   if (update.report.number <= member.report.number) {
     return;
   }
-  const bool is_news =
-      update.report.held_revision != member.report.held_revision ||
-      update.report.set_digest != member.report.set_digest;
+  const MemberReport before = member.report;
   member.report = update.report;
-  if (is_news) {
+  // A HeldSetUpdate can have told of a higher revision already.
+  member.report.held_revision =
+      std::max(before.held_revision, update.report.held_revision);
+  AddToHeldSet(context, update.member, update.report);
+  if (is_spread) {
     QueueUpdate(context, update);
+  }
+  if (member.report.held_revision != before.held_revision ||
+      member.report.set_digest != before.set_digest) {
     context.Emit(MemberChanged{member, member.status});
   }
 }
@@ -229,7 +254,9 @@
     } else if (const auto* status = std::get_if<StatusUpdate>(&update)) {
       ApplyStatus(context, *status);
     } else if (const auto* report = std::get_if<ReportUpdate>(&update)) {
-      ApplyReport(context, *report);
+      ApplyReport(context, *report, true);
+    } else if (const auto* held = std::get_if<HeldSetUpdate>(&update)) {
+      MergeHeldSet(context, *held);
     } else if (const auto* leaving =
                    std::get_if<BackendLeavingUpdate>(&update)) {
       if (RecordLeavingBackend(context, leaving->instance,
--- a/packages/membership/src/table_cmd.h
+++ b/packages/membership/src/table_cmd.h
@@ -29,8 +29,16 @@
 /** Merges a status; a claim that this process is gone is refuted. */
 void ApplyStatus(const Context& context, const StatusUpdate& update);
 
-/** Merges a report. */
-void ApplyReport(const Context& context, const ReportUpdate& update);
+/**
+ * Merges a report.
+ * @param is_spread Whether it is told to others.
+ */
+void ApplyReport(const Context& context,
+                 const ReportUpdate& update,
+                 bool is_spread);
+
+/** Spreads the own report if it is due and digests differ. */
+void SpreadOwnReport(const Context& context);
 
 /** Applies the updates of a datagram. */
 void ApplyUpdates(const Context& context, const std::vector<Update>& updates);
--- a/packages/membership/src/update_cmd.cc
+++ b/packages/membership/src/update_cmd.cc
@@ -19,15 +19,17 @@
   } else if (const auto* leaving = std::get_if<BackendLeavingUpdate>(&update)) {
     key.priority = 1;
     key.name = leaving->instance;
-  } else if (const auto* crash = std::get_if<CrashUpdate>(&update)) {
+  } else if (std::holds_alternative<HeldSetUpdate>(update)) {
     key.priority = 2;
+  } else if (const auto* crash = std::get_if<CrashUpdate>(&update)) {
+    key.priority = 3;
     key.id = crash->fingerprint;
     key.observer = crash->observer.value;
   } else if (const auto* join = std::get_if<JoinUpdate>(&update)) {
-    key.priority = 3;
+    key.priority = 4;
     key.id = join->member.id.value;
   } else if (const auto* report = std::get_if<ReportUpdate>(&update)) {
-    key.priority = 4;
+    key.priority = 5;
     key.id = report->member.value;
   }
   return key;
@@ -56,6 +58,9 @@
   if (const auto* leaving = std::get_if<BackendLeavingUpdate>(&update)) {
     return kIndexBytes + EncodedBytes(leaving->instance);
   }
+  if (const auto* held = std::get_if<HeldSetUpdate>(&update)) {
+    return kIndexBytes + 8 + 8 + EncodedBytes(held->bits);
+  }
   if (std::holds_alternative<CrashUpdate>(update)) {
     return kIndexBytes + 8 + 8 + 4;
   }
--- a/packages/membership/tests/simulation.h
+++ b/packages/membership/tests/simulation.h
@@ -55,6 +55,9 @@
   /** Applies an event at once. */
   void Post(size_t index, const MembershipEvent& event);
 
+  /** Replaces a process by a new one on the same instance and address. */
+  void Restart(size_t index);
+
   void Kill(size_t index) { this->nodes[index].is_running = false; }
   void Pause(size_t index, Duration time) {
     this->nodes[index].paused_until = this->now + time;
--- a/packages/membership/tests/simulation_test.cc
+++ b/packages/membership/tests/simulation_test.cc
@@ -58,6 +58,17 @@
   }
 }
 
+void Simulation::Restart(size_t index) {
+  const MembershipState old = this->nodes[index].state;
+  Member self = old.self;
+  self.id = MemberId{this->random()};
+  self.started_at = this->now.time_since_epoch().count();
+  this->nodes[index] = Node{};
+  this->nodes[index].state =
+      MakeMembershipState(self, old.options, this->random(), this->now);
+  this->Post(index, SeedsListed{old.seeds});
+}
+
 void Simulation::Post(size_t index, const MembershipEvent& event) {
   this->Apply(index, event);
 }
