--- a/packages/ledger/tests/ledger_sim_test.cc
+++ b/packages/ledger/tests/ledger_sim_test.cc
@@ -426,6 +426,8 @@
   this->RunUntil(this->now + this->options.length);
   this->calm = true;
   this->outage_until = {};
+  // Earlier news of owners may still be under way to a paused daemon.
+  this->RunUntil(this->now + std::chrono::seconds(9));
   this->ChangeOwners();
   this->RunUntil(this->now + std::chrono::seconds(20));
   if (this->violations.empty()) {
