--- a/packages/platform/src/http_object_store_base.cc
+++ b/packages/platform/src/http_object_store_base.cc
@@ -94,6 +94,9 @@
 }
 
 std::string TextField(const Json& json, const char* name) {
+  if (!json.is_object()) {
+    return {};
+  }
   const auto field = json.find(name);
   return field != json.end() && field->is_string() ? field->get<std::string>()
                                                    : std::string();
@@ -189,6 +192,17 @@
   return object;
 }
 
+/** A removal is answered with a Status object or with the removed object. */
+bool ConfirmsRemoval(const HttpReply& reply, const ObjectKey& key) {
+  const Json json = ParseObject(reply.body);
+  const auto metadata = json.find("metadata");
+  const bool is_object =
+      metadata != json.end() && TextField(*metadata, "name") == key.name;
+  const bool is_success = TextField(json, "kind") == "Status" &&
+                          TextField(json, "status") == "Success";
+  return is_object || is_success;
+}
+
 /** One page of a list; its continue token is empty on the last page. */
 struct Page {
   std::vector<StoredObject> objects;
@@ -251,10 +265,11 @@
   std::string version;
   if (code == ResultCode::kOk) {
     const Json json = ParseObject(reply.body);
-    const Json metadata = json.value("metadata", Json::object());
-    version = TextField(metadata, "resourceVersion");
-    const bool complete =
-        !version.empty() && TextField(metadata, "name") == key.name;
+    const auto metadata = json.find("metadata");
+    const bool named =
+        metadata != json.end() && TextField(*metadata, "name") == key.name;
+    version = named ? TextField(*metadata, "resourceVersion") : std::string();
+    const bool complete = !version.empty();
     code = complete ? ResultCode::kOk : ResultCode::kStoreUnknown;
   }
   this->channel.CountResult(call.label, code);
@@ -302,7 +317,10 @@
                      {"preconditions", {{"resourceVersion", expected.text}}}};
   const HttpCall call{"remove", "DELETE", ObjectPath(key), body.dump()};
   const HttpReply reply = this->channel.Perform(call);
-  const ResultCode code = Classify(reply, /*is_write=*/true);
+  ResultCode code = Classify(reply, /*is_write=*/true);
+  if (code == ResultCode::kOk && !ConfirmsRemoval(reply, key)) {
+    code = ResultCode::kStoreUnknown;
+  }
   this->channel.CountResult(call.label, code);
   if (code != ResultCode::kOk) {
     FailCall(code, call, reply);
