lease: add the reducer of the duty leases

Cause: a duty such as placement must be performed by at most one member, also when the holder is paused or a store answer is lost, and on servers that ignore fencing numbers.

Change: pure reducer over acquisition, renewal, release and loss. The holder counts from before its write was sent and stops 500 ms early; a successor waits 10 s on its own clock since it first saw the unchanged version, also for an absent object, and then writes conditionally. A lost answer is resolved by read-back; a write that arrives even later fails on its version or is seen as an own record and renewed. For servers that ignore the number the holder waits another 10 s. A record that cannot be read is left unchanged.

Removal of the object by an operator is only tested for one member; numbers restart if no live member knows the former one.

--- /dev/null
+++ b/packages/lease/include/lease/lease_func.h
@@ -0,0 +1,40 @@
+/**
+ * @file lease_func.h
+ * The right to act on a duty, and the text form of the lease record.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "lease/lease_type.h"
+
+namespace boragewharf::lease {
+
+/**
+ * Whether this member may give orders for a duty. Asked immediately before
+ * each order with a fresh reading of the boot clock, because the process may
+ * have been paused since the last event.
+ * @param fencing Whether the addressed server checks the number.
+ * @return The number for the order; empty optional with kLeaseLost and the
+ *     reason as detail.
+ * @note Not thread-safe with Reduce().
+ */
+std::optional<FencingNumber> MayAct(const LeaseState& state,
+                                    std::string_view duty,
+                                    ServerFencing fencing,
+                                    TimePoint now);
+
+/** JSON text of a record. @note Thread-safe. */
+std::string EncodeLease(const LeaseRecord& record);
+
+/**
+ * Inverse of EncodeLease().
+ * @return Empty optional with kNewerFormat or kStoreMalformed; the object is
+ *     then left unchanged.
+ * @note Thread-safe.
+ */
+std::optional<LeaseRecord> DecodeLease(std::string_view text);
+
+}  // namespace boragewharf::lease
--- /dev/null
+++ b/packages/lease/src/lease_func.cc
@@ -0,0 +1,95 @@
+/**
+ * @file lease_func.cc
+ * The right to act, and the record's text form.
+ */
+#include "lease/lease_func.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "base/result_func.h"
+
+namespace boragewharf::lease {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr int kHexBase = 16;
+
+std::string MemberText(MemberId member) {
+  char digits[2 * sizeof(member.value)];
+  const auto [end, error] = std::to_chars(std::begin(digits), std::end(digits),
+                                          member.value, kHexBase);
+  return {digits, end};
+}
+
+std::optional<MemberId> ParseMember(std::string_view text) {
+  MemberId member;
+  const auto [end, error] = std::from_chars(
+      text.data(), text.data() + text.size(), member.value, kHexBase);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return member;
+}
+
+}  // namespace
+
+std::optional<FencingNumber> MayAct(const LeaseState& state,
+                                    std::string_view duty,
+                                    ServerFencing fencing,
+                                    TimePoint now) {
+  const auto entry = state.duties.find(duty);
+  if (entry == state.duties.end() || !entry->second.holding) {
+    return Fail(ResultCode::kLeaseLost, "not held");
+  }
+  const Holding& holding = *entry->second.holding;
+  if (now >= holding.expires) {
+    return Fail(ResultCode::kLeaseLost, "lapsed");
+  }
+  if (fencing == ServerFencing::kIgnored && now < holding.settled_from) {
+    return Fail(ResultCode::kLeaseLost, "earlier orders may be outstanding");
+  }
+  return holding.fencing;
+}
+
+std::string EncodeLease(const LeaseRecord& record) {
+  const Json json = {{"format", kRecordFormat},
+                     {"holder", MemberText(record.holder)},
+                     {"fencing", record.fencing.value},
+                     {"leaseMs", kLeaseTime / std::chrono::milliseconds(1)},
+                     {"write", record.write},
+                     {"released", record.released}};
+  return json.dump();
+}
+
+std::optional<LeaseRecord> DecodeLease(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("format") ||
+      !json["format"].is_number_unsigned()) {
+    return Fail(ResultCode::kStoreMalformed, "lease record");
+  }
+  if (json["format"].get<uint64_t>() > kRecordFormat) {
+    return Fail(ResultCode::kNewerFormat, "lease record");
+  }
+  for (const char* name : {"fencing", "write"}) {
+    if (!json.contains(name) || !json[name].is_number_unsigned()) {
+      return Fail(ResultCode::kStoreMalformed, name);
+    }
+  }
+  if (!json.contains("holder") || !json["holder"].is_string() ||
+      !json.contains("released") || !json["released"].is_boolean()) {
+    return Fail(ResultCode::kStoreMalformed, "lease record");
+  }
+  const std::optional<MemberId> holder =
+      ParseMember(json["holder"].get_ref<const std::string&>());
+  if (!holder) {
+    return Fail(ResultCode::kStoreMalformed, "holder");
+  }
+  return LeaseRecord{*holder, FencingNumber{json["fencing"].get<uint64_t>()},
+                     json["write"].get<uint64_t>(),
+                     json["released"].get<bool>()};
+}
+
+}  // namespace boragewharf::lease
--- /dev/null
+++ b/packages/lease/tests/lease_test.cc
@@ -0,0 +1,200 @@
+/**
+ * @file lease_test.cc
+ * Duty leases: single steps of one member.
+ */
+#include <gtest/gtest.h>
+
+#include "base/result_func.h"
+#include "lease/lease_cmd.h"
+#include "lease/lease_func.h"
+
+namespace boragewharf::lease {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kDuty[] = "placement";
+
+/** One member on its own, driven by hand. */
+class LeaseTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    this->state.self = MemberId{1};
+    this->Apply(DutyWanted{kDuty, true});
+  }
+
+  void Apply(const LeaseEvent& event) {
+    this->effects.clear();
+    Reduce(this->state, event, this->now, this->effects);
+  }
+
+  template <class Effect>
+  const Effect* Find() const {
+    for (const LeaseEffect& effect : this->effects) {
+      if (const auto* found = std::get_if<Effect>(&effect)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  bool MayActOn(ServerFencing fencing) const {
+    return MayAct(this->state, kDuty, fencing, this->now).has_value();
+  }
+
+  /** Reads a released lease of another member and takes it over. */
+  void Acquire() {
+    this->Apply(
+        LeaseRead{kDuty, {"v1"}, {MemberId{9}, FencingNumber{4}, 1, true}});
+    ASSERT_NE(this->Find<WriteLease>(), nullptr);
+    this->Apply(LeaseWritten{kDuty, {"v2"}});
+    ASSERT_TRUE(this->MayActOn(ServerFencing::kChecked));
+  }
+
+  LeaseState state;
+  std::vector<LeaseEffect> effects;
+  TimePoint now{seconds(1000)};
+};
+
+// Guards against orders of a predecessor that take effect after those of its
+// successor on servers that ignore the number.
+TEST_F(LeaseTest, SuccessorWaitsForOutstandingOrders) {
+  this->Acquire();
+  EXPECT_EQ(MayAct(state, kDuty, ServerFencing::kChecked, now),
+            FencingNumber{5});
+  EXPECT_FALSE(MayActOn(ServerFencing::kIgnored));
+  const Holding holding = *state.duties.at(kDuty).holding;
+  EXPECT_EQ(holding.settled_from - now, kOrderBound);
+}
+
+// Guards against a holder that counts its lease from the arrival of the
+// answer, or acts after a pause.
+TEST_F(LeaseTest, LeaseCountsFromBeforeTheWriteWasSent) {
+  this->Apply(
+      LeaseRead{kDuty, {"v1"}, {MemberId{9}, FencingNumber{4}, 1, true}});
+  const TimePoint sent = now;
+  now += seconds(3);
+  this->Apply(LeaseWritten{kDuty, {"v2"}});
+  now = sent + kLeaseTime - kHolderMargin - milliseconds(1);
+  EXPECT_TRUE(MayActOn(ServerFencing::kChecked));
+  now += milliseconds(1);
+  EXPECT_FALSE(MayActOn(ServerFencing::kChecked)) << "without any event";
+  EXPECT_EQ(LastReason().code, ResultCode::kLeaseLost);
+}
+
+// Guards against a take-over while the holder renews, and against one that
+// relies on the holder's clock.
+TEST_F(LeaseTest, TakeOverNeedsAnUnchangedVersion) {
+  const LeaseRecord other{MemberId{9}, FencingNumber{4}, 1, false};
+  for (int renewal = 0; renewal < 10; ++renewal) {
+    this->Apply(LeaseRead{kDuty, {"v" + std::to_string(renewal)}, other});
+    EXPECT_EQ(Find<WriteLease>(), nullptr);
+    now += seconds(9);
+    this->Apply(Tick{});
+    EXPECT_NE(Find<ReadLease>(), nullptr);
+  }
+  this->Apply(LeaseRead{kDuty, {"v9"}, other});
+  now += seconds(2);
+  this->Apply(Tick{});
+  const auto* write = Find<WriteLease>();
+  ASSERT_NE(write, nullptr);
+  EXPECT_EQ(write->expected, ObjectVersion{"v9"});
+  EXPECT_EQ(write->record.fencing, FencingNumber{5});
+}
+
+// Guards against both wrong conclusions from a lost answer.
+TEST_F(LeaseTest, LostAnswerIsResolvedByReadBack) {
+  this->Acquire();
+  const TimePoint before = state.duties.at(kDuty).holding->expires;
+  now += kRenewPeriod;
+  this->Apply(Tick{});
+  const LeaseRecord renewal = Find<WriteLease>()->record;
+  const TimePoint sent = now;
+  this->Apply(LeaseWriteFailed{kDuty, ResultCode::kStoreUnknown});
+  EXPECT_EQ(state.duties.at(kDuty).holding->expires, before);
+  now += seconds(1);
+  this->Apply(Tick{});
+  ASSERT_NE(Find<ReadLease>(), nullptr);
+  this->Apply(LeaseRead{kDuty, {"v3"}, renewal});
+  EXPECT_EQ(state.duties.at(kDuty).holding->expires,
+            sent + kLeaseTime - kHolderMargin);
+  EXPECT_EQ(renewal.fencing, FencingNumber{5}) << "a renewal keeps it";
+}
+
+TEST_F(LeaseTest, SeesItsSuccessor) {
+  this->Acquire();
+  now += kRenewPeriod;
+  this->Apply(Tick{});
+  this->Apply(LeaseWriteFailed{kDuty, ResultCode::kStoreConflict});
+  now += seconds(1);
+  this->Apply(Tick{});
+  this->Apply(
+      LeaseRead{kDuty, {"v3"}, {MemberId{9}, FencingNumber{6}, 1, false}});
+  EXPECT_FALSE(MayActOn(ServerFencing::kChecked));
+  ASSERT_NE(Find<DutyChanged>(), nullptr);
+  EXPECT_EQ(Find<DutyChanged>()->code, ResultCode::kLeaseLost);
+}
+
+// Guards against acting on while the release is on its way.
+TEST_F(LeaseTest, ReleaseEndsTheRightAtOnce) {
+  this->Acquire();
+  this->Apply(DutyWanted{kDuty, false});
+  EXPECT_FALSE(MayActOn(ServerFencing::kChecked));
+  ASSERT_NE(Find<WriteLease>(), nullptr);
+  EXPECT_TRUE(Find<WriteLease>()->record.released);
+  this->Apply(LeaseWritten{kDuty, {"v3"}});
+  now += seconds(60);
+  this->Apply(Tick{});
+  EXPECT_TRUE(effects.empty());
+}
+
+// Guards against a record of a newer program being overwritten.
+TEST_F(LeaseTest, RecordThatCannotBeReadIsLeft) {
+  for (int i = 0; i < 20; ++i) {
+    this->Apply(LeaseReadFailed{kDuty, ResultCode::kNewerFormat});
+    EXPECT_EQ(Find<WriteLease>(), nullptr);
+    now += seconds(10);
+    this->Apply(Tick{});
+    EXPECT_EQ(Find<WriteLease>(), nullptr);
+  }
+}
+
+// Guards against a number that falls, and against two holders, if an operator
+// removes the object while a member holds the lease.
+TEST_F(LeaseTest, RemovedObjectIsCreatedLaterWithAHigherNumber) {
+  this->Acquire();
+  now += kRenewPeriod;
+  this->Apply(Tick{});
+  this->Apply(LeaseWriteFailed{kDuty, ResultCode::kStoreNotFound});
+  now += seconds(1);
+  this->Apply(Tick{});
+  this->Apply(LeaseReadFailed{kDuty, ResultCode::kStoreNotFound});
+  EXPECT_EQ(Find<WriteLease>(), nullptr) << "another holder may still act";
+  now += kLeaseTime;
+  this->Apply(Tick{});
+  ASSERT_NE(Find<WriteLease>(), nullptr);
+  EXPECT_FALSE(Find<WriteLease>()->expected);
+  this->Apply(LeaseWritten{kDuty, {"v9"}});
+  EXPECT_EQ(MayAct(state, kDuty, ServerFencing::kChecked, now),
+            FencingNumber{6});
+  EXPECT_FALSE(MayActOn(ServerFencing::kIgnored));
+}
+
+TEST(LeaseRecordTest, TextForm) {
+  const LeaseRecord record{MemberId{UINT64_MAX}, FencingNumber{7}, 3, true};
+  EXPECT_EQ(DecodeLease(EncodeLease(record)), record);
+  for (
+      const char* text :
+      {"", "[]", "{", R"({"format":1})", R"({"format":1,"holder":"xyz",
+        "fencing":1,"write":1,"released":false})",
+       R"({"format":1,"holder":"1","fencing":-1,"write":1,"released":false})"}) {
+    EXPECT_FALSE(DecodeLease(text)) << text;
+    EXPECT_EQ(LastReason().code, ResultCode::kStoreMalformed);
+  }
+  EXPECT_FALSE(DecodeLease(R"({"format":2,"other":1})"));
+  EXPECT_EQ(LastReason().code, ResultCode::kNewerFormat);
+}
+
+}  // namespace
+}  // namespace boragewharf::lease
