--- a/packages/traffic/include/traffic/caller_server_base.h
+++ b/packages/traffic/include/traffic/caller_server_base.h
@@ -8,11 +8,13 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include "base/scope_guard.h"
 #include "traffic/option_type.h"
+#include "traffic/refusal_func.h"
 
 namespace boragewharf::traffic {
 
@@ -24,8 +26,8 @@
  *
  * The library parses multipart bodies and forms by content type and loses the
  * original body, so the content type is moved to kContentTypeHeader before the
- * body is read. Bodies without Content-Length are refused, because the library
- * does not bound them; so are compressed ones.
+ * body is read. Chunked and compressed bodies are refused, because the library
+ * does not bound them.
  */
 class CallerServer : public httplib::Server {
  public:
@@ -51,8 +53,8 @@
    */
   void StopAndJoin();
 
-  /** Why the framing of a request is refused; empty if it is not. */
-  static std::string FramingFault(const httplib::Request& request);
+  /** Why a request is refused before its body is read, if it is. */
+  std::optional<Refusal> FramingFault(const httplib::Request& request) const;
 
  private:
   // NOLINTNEXTLINE(readability-identifier-naming)
--- a/packages/traffic/src/caller_api_base.cc
+++ b/packages/traffic/src/caller_api_base.cc
@@ -144,16 +144,16 @@
 }
 
 void CallerApi::AddFallbacks(CallerServer& server) const {
-  server.set_pre_routing_handler([this](const Request& request,
-                                        Response& response) {
-    const std::string fault = CallerServer::FramingFault(request);
-    if (fault.empty()) {
-      return httplib::Server::HandlerResponse::Unhandled;
-    }
-    response.set_header(kRequestIdHeader, ToString(NewRequestId()));
-    this->Refuse(response, {ResultCode::kInvalidField, fault, std::nullopt});
-    return httplib::Server::HandlerResponse::Handled;
-  });
+  server.set_pre_routing_handler(
+      [this, &server](const Request& request, Response& response) {
+        const std::optional<Refusal> fault = server.FramingFault(request);
+        if (!fault) {
+          return httplib::Server::HandlerResponse::Unhandled;
+        }
+        response.set_header(kRequestIdHeader, ToString(NewRequestId()));
+        this->Refuse(response, *fault);
+        return httplib::Server::HandlerResponse::Handled;
+      });
   // Errors of our own handlers have a request id; others are the library's.
   server.set_error_handler([this](const Request&, Response& response) {
     if (response.has_header(kRequestIdHeader) || !response.body.empty()) {
--- a/packages/traffic/src/caller_server_base.cc
+++ b/packages/traffic/src/caller_server_base.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <charconv>
 #include <condition_variable>
 #include <deque>
 #include <limits>
@@ -16,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/time_type.h"
 #include "traffic/caller_connection_base.h"
 
 namespace boragewharf::traffic {
@@ -26,6 +28,8 @@
 // waits a second for the retransmission of the SYN.
 constexpr int kBacklog = 1024;
 constexpr size_t kRefusalThreads = 2;
+constexpr std::chrono::seconds kDiscardTime{2};
+constexpr std::chrono::milliseconds kDiscardWait{500};
 constexpr size_t kMaxWaitingRefusals = 1024;
 constexpr std::chrono::milliseconds kRefusalWait{20};
 constexpr size_t kHeaderAllowance = 131072;
@@ -46,6 +50,24 @@
   recv(sock, discarded.data(), discarded.size(), MSG_DONTWAIT);
 }
 
+/**
+ * Lets the caller read an answer that was sent before its request was read:
+ * closing with unread input would reset the connection and lose the answer.
+ */
+void DiscardInput(socket_t sock) {
+  shutdown(sock, SHUT_WR);
+  const TimePoint end = BootClock::now() + kDiscardTime;
+  std::array<char, 16384> discarded;
+  ssize_t got = 1;
+  while (got > 0 && BootClock::now() < end) {
+    pollfd entry{sock, POLLIN, 0};
+    if (poll(&entry, 1, static_cast<int>(kDiscardWait.count())) <= 0) {
+      return;
+    }
+    got = recv(sock, discarded.data(), discarded.size(), MSG_DONTWAIT);
+  }
+}
+
 /** One thread per connection; a few more threads refuse the rest. */
 class ConnectionQueue : public httplib::TaskQueue {
  public:
@@ -184,17 +206,31 @@
   this->listener.join();
 }
 
-std::string CallerServer::FramingFault(const httplib::Request& request) {
+std::optional<Refusal> CallerServer::FramingFault(
+    const httplib::Request& request) const {
+  const auto invalid = [](const char* detail) {
+    return Refusal{ResultCode::kInvalidField, detail, std::nullopt};
+  };
   if (request.has_header("Transfer-Encoding")) {
-    return "Transfer-Encoding: send Content-Length instead";
+    return invalid("Transfer-Encoding: send Content-Length instead");
   }
   if (request.has_header("Content-Encoding")) {
-    return "Content-Encoding: send the body uncompressed";
+    return invalid("Content-Encoding: send the body uncompressed");
   }
   if (request.get_header_value_count("Content-Length") > 1) {
-    return "Content-Length: more than one";
+    return invalid("Content-Length: more than one");
   }
-  return {};
+  const std::string text = request.get_header_value("Content-Length");
+  uint64_t length = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, length);
+  if (error == std::errc::invalid_argument || stop != end) {
+    return invalid("Content-Length: not a number");
+  }
+  if (error != std::errc() || length > this->options.max_body_bytes) {
+    return Refusal{ResultCode::kBodyTooLarge, {}, std::nullopt};
+  }
+  return std::nullopt;
 }
 
 bool CallerServer::process_and_close_socket(socket_t sock) {
@@ -216,8 +252,8 @@
   bool must_close = false;
   const auto prepare = [&](httplib::Request& request) {
     PrepareRequest(request);
-    // The body of a request with faulty framing is left unread.
-    must_close = !FramingFault(request).empty();
+    // The body of such a request is left unread.
+    must_close = this->FramingFault(request).has_value();
   };
   while (!must_close && connection.WaitForRequest(this->options.keep_alive,
                                                   this->stop_event.Get())) {
@@ -227,6 +263,9 @@
       break;
     }
   }
+  if (must_close) {
+    DiscardInput(sock);
+  }
   return served;
 }
 
