--- a/packages/config/include/config/document_type.h
+++ b/packages/config/include/config/document_type.h
@@ -94,6 +94,12 @@
   std::map<std::string, Service> services;    ///< By name.
   std::map<std::string, Model> models;        ///< By name.
   std::map<std::string, Limits> limits;       ///< By service name.
+  /**
+   * Which ticket removed an object, by "KIND/NAME". Kept as long as the ticket
+   * is remembered: without it, a ticket filed against an older revision could
+   * set a removed object again without a conflict.
+   */
+  std::map<std::string, Origin> removed;
 
   auto operator<=>(const Configuration&) const = default;
 };
