--- a/packages/config/include/config/ticket_func.h
+++ b/packages/config/include/config/ticket_func.h
@@ -35,6 +35,9 @@
                      const Ticket& ticket,
                      std::vector<JsonFault>& faults);
 
+/** Whether a customer may have this name. @note Thread-safe. */
+bool IsCustomerName(const std::string& name);
+
 /** Objects that @p ticket sets or removes, sorted. @note Thread-safe. */
 std::vector<ObjectName> TouchedObjects(const Ticket& ticket);
 
--- a/packages/config/src/object_json_func.cc
+++ b/packages/config/src/object_json_func.cc
@@ -8,6 +8,7 @@
 #include <array>
 
 #include "base/digest_func.h"
+#include "config/ticket_func.h"
 
 namespace boragewharf::config {
 
@@ -111,6 +112,10 @@
   return kRule;
 }
 
+bool IsCustomerName(const std::string& name) {
+  return kCustomerRule.holds(name);
+}
+
 Customer ReadCustomer(JsonReader& reader) {
   Customer customer;
   customer.name = reader.Text("name", kCustomerRule);
--- /dev/null
+++ b/packages/ctl/include/ctl/admin_client_base.h
@@ -0,0 +1,47 @@
+/**
+ * @file admin_client_base.h
+ * Operator calls to a daemon over HTTP.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "base/endpoint_type.h"
+
+namespace boragewharf::ctl {
+
+/** What a daemon answered. */
+struct AdminAnswer {
+  int status = 0;    ///< HTTP status.
+  std::string body;  ///< JSON text.
+};
+
+/** Calls one daemon with the operator key. */
+class AdminClient {
+ public:
+  AdminClient(Endpoint address, std::string operator_key)
+      : endpoint(std::move(address)), key(std::move(operator_key)) {}
+
+  /**
+   * GET of @p path.
+   * @return Empty optional with kPeerUnreachable and the cause.
+   * @note Thread-safe. Blocks for at most the bounds of connect and read.
+   */
+  std::optional<AdminAnswer> Get(const std::string& path) const;
+
+  /**
+   * POST of @p body to @p path.
+   * @return Empty optional with kPeerUnreachable if nothing was sent, and with
+   *     kOutcomeUnknown if no answer arrived after that.
+   * @note As Get().
+   */
+  std::optional<AdminAnswer> Post(const std::string& path,
+                                  const std::string& body) const;
+
+ private:
+  Endpoint endpoint;
+  std::string key;  ///< Secret; sent, never printed.
+};
+
+}  // namespace boragewharf::ctl
