Pace the writes of the ledger, and merge small objects into segments

Cause: with one write in flight per shard, 16 shards wrote 1,541 times a second at 2,000 claims/s over a store of 10 ms; the store supports several hundred. Objects of up to 512 KB, rewritten by each commit, cost 166 KB per claim.

Change: each shard writes at its share of 200 writes/s after a burst of 4; NextWake() tells when the next tick is due. Objects are sealed at 64 KB, and a seal merges the last segment up to 512 KB into a new one. The merged segment is removed after the write that no longer lists it; an owner that misses a listed segment reads the object again before it stops.

Conclusion: the write rate no longer depends on the load; the price is up to about 0.1 s of waiting for claims under load.

--- a/packages/ledger/include/ledger/ledger_event.h
+++ b/packages/ledger/include/ledger/ledger_event.h
@@ -88,7 +88,7 @@
   std::vector<MemberId> live;  ///< All live members, this one included.
 };
 
-/** Periodic; at least every 100 ms for timely refusals. */
+/** Periodic; at least every 100 ms for timely refusals, see NextWake(). */
 struct Tick {
   WallTime wall;  ///< Present wall time.
 };
--- a/packages/ledger/include/ledger/ledger_func.h
+++ b/packages/ledger/include/ledger/ledger_func.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "ledger/ledger_state.h"
@@ -20,6 +21,13 @@
                             const LedgerOptions& options,
                             uint64_t seed);
 
+/**
+ * When the next Tick is due, so that paced writes and backoffs end in time.
+ * @return Empty optional if nothing is waiting.
+ * @note Not thread-safe.
+ */
+std::optional<TimePoint> NextWake(const LedgerState& state);
+
 /**
  * Applies one event.
  * @param now Present time; never earlier than in the call before.
--- a/packages/ledger/include/ledger/ledger_state.h
+++ b/packages/ledger/include/ledger/ledger_state.h
@@ -25,13 +25,15 @@
 /** Bounds and periods of the ledger. */
 struct LedgerOptions {
   uint32_t shard_count = 16;  ///< Equal on all members, and fixed.
-  size_t object_bytes =
-      size_t{512} * 1024;                 ///< A shard object is sealed beyond.
+  size_t object_bytes = size_t{64} * 1024;    ///< Sealed beyond this size.
+  size_t segment_bytes = size_t{512} * 1024;  ///< Of a merged segment.
   size_t segment_limit = 64;              ///< New claims are refused beyond.
   size_t body_bytes = size_t{16} * 1024;  ///< Longer answers are not kept.
   size_t waiting_calls = 8192;            ///< Per shard; refused beyond.
   size_t segment_reads = 8;               ///< Segments read at once per shard.
   size_t recent_releases = 4096;          ///< Remembered in memory per shard.
+  double writes_per_second = 200;         ///< Of all shards of all members.
+  uint32_t write_burst = 4;  ///< Writes of a shard without a pause.
   Duration answer_within = std::chrono::seconds(2);       ///< Longest wait.
   Duration backoff_min = std::chrono::milliseconds(100);  ///< First delay.
   Duration backoff_max = std::chrono::seconds(5);         ///< Longest delay.
@@ -92,6 +94,7 @@
   std::string body;                     ///< JSON text.
   bool may_exist = false;               ///< An earlier write is unknown.
   std::shared_ptr<EntryTable> entries;  ///< What it holds.
+  std::string replaces;                 ///< Segment that is merged into it.
 };
 
 enum class ShardPhase : uint8_t {
@@ -103,6 +106,12 @@
   kBlocked,          ///< The store's objects cannot be used.
 };
 
+/** A segment in memory. */
+struct SealedSegment {
+  std::shared_ptr<const EntryTable> entries;  ///< Without their texts.
+  size_t bytes = 0;                           ///< Size of the object.
+};
+
 /** Claims that were reported released while not holding their key. */
 struct RecentReleases {
   std::unordered_map<RequestId, Digest> keys;  ///< Key by claim.
@@ -115,20 +124,21 @@
   ShardPhase phase = ShardPhase::kReadingShard;  ///< See ShardPhase.
   OperationId operation;                         ///< In flight; 0 if none.
   TimePoint next_attempt;                        ///< Backoff ends.
+  TimePoint write_time;                          ///< Paces the writes.
+  std::string missing_version;                   ///< Lacked a segment.
   uint32_t failures = 0;                         ///< In a row.
   std::string version;                           ///< Empty: no object.
   ShardHeader header;                            ///< As read or confirmed.
   EntryTable active;                             ///< Entries of the object.
   size_t active_bytes = 0;                       ///< Size of their texts.
-  /** Entries of segments by segment name. */
-  std::map<std::string, std::shared_ptr<const EntryTable>, std::less<>> sealed;
-  std::deque<std::string> segments_to_read;          ///< Not yet read.
-  std::map<OperationId, std::string> segment_reads;  ///< Being read.
-  std::deque<PendingCall> waiting;                   ///< For the next write.
-  std::optional<Batch> batch;                        ///< See Batch.
-  std::optional<Seal> seal;                          ///< See Seal.
-  std::set<std::string> unlisted;  ///< Segments written, not yet listed.
-  RecentReleases releases;         ///< See there.
+  std::map<std::string, SealedSegment, std::less<>> sealed;  ///< By name.
+  std::deque<std::string> segments_to_read;                  ///< Not yet read.
+  std::map<OperationId, std::string> segment_reads;          ///< Being read.
+  std::deque<PendingCall> waiting;  ///< For the next write.
+  std::optional<Batch> batch;       ///< See Batch.
+  std::optional<Seal> seal;         ///< See Seal.
+  std::set<std::string> unlisted;   ///< Segments written, not yet listed.
+  RecentReleases releases;          ///< See there.
   std::set<std::string, std::less<>> removing;  ///< Being removed.
   WallTime next_prune;                          ///< Of old entries.
 };
--- a/packages/ledger/src/ledger_cmd.cc
+++ b/packages/ledger/src/ledger_cmd.cc
@@ -263,8 +263,9 @@
     if (table == shard.sealed.end()) {
       continue;
     }
-    const auto sealed = table->second->find(key);
-    if (sealed != table->second->end()) {
+    const EntryTable& entries = *table->second.entries;
+    const auto sealed = entries.find(key);
+    if (sealed != entries.end()) {
       return Unexpired(sealed->second.entry, state);
     }
   }
@@ -321,6 +322,22 @@
   return state;
 }
 
+std::optional<TimePoint> NextWake(const LedgerState& state) {
+  std::optional<TimePoint> wake;
+  for (const auto& [id, shard] : state.shards) {
+    if (shard.phase == ShardPhase::kWriting ||
+        shard.operation != OperationId{} ||
+        (shard.phase == ShardPhase::kReady && shard.waiting.empty())) {
+      continue;
+    }
+    const TimePoint due = shard.phase == ShardPhase::kReady
+                              ? NextWrite(state, shard)
+                              : shard.next_attempt;
+    wake = wake ? std::min(*wake, due) : due;
+  }
+  return wake;
+}
+
 void Reduce(LedgerState& state,
             const LedgerEvent& event,
             TimePoint now,
--- a/packages/ledger/src/shard_cmd.h
+++ b/packages/ledger/src/shard_cmd.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "ledger/ledger_state.h"
@@ -72,9 +73,24 @@
 /** Answers the calls of a batch whose write is confirmed. */
 void AnswerBatch(ShardContext context);
 
+/** Earliest time of the next write: pace and backoff. */
+TimePoint NextWrite(const LedgerState& state, const ShardState& shard);
+
 /** Starts the next write if one is due and none is in flight. */
 void Advance(ShardContext context);
 
+/** Counts a write of the shard towards the rate of the store. */
+void PaceWrite(ShardContext context);
+
+/** Name of the last segment if the active entries fit into it, or empty. */
+std::string MergeableSegment(ShardContext context);
+
+/** The segment of the seal in progress was written. */
+void OnSegmentWritten(ShardContext context);
+
+/** The segment of the seal in progress was not written, or maybe. */
+void OnSegmentWriteFailed(ShardContext context, ResultCode cause);
+
 /** Starts to write all active entries into a segment. */
 void BeginSeal(ShardContext context);
 
--- a/packages/ledger/src/shard_load_cmd.cc
+++ b/packages/ledger/src/shard_load_cmd.cc
@@ -168,8 +168,9 @@
     return;
   }
   context.shard.failures = 0;
-  context.shard.sealed[name] =
-      std::make_shared<const EntryTable>(std::move(*entries));
+  context.shard.sealed[name] = {
+      std::make_shared<const EntryTable>(std::move(*entries)),
+      event.body.size()};
   SendSegmentReads(context);
   FinishLoad(context);
 }
@@ -184,6 +185,22 @@
   return false;
 }
 
+/**
+ * Another owner may have merged the segment since the shard object was read;
+ * then a second read lists another one.
+ */
+void OnMissingSegment(ShardContext context) {
+  ShardState& shard = context.shard;
+  if (shard.missing_version != shard.version) {
+    shard.missing_version = shard.version;
+    shard.segment_reads.clear();
+    ReadAgain(context);
+    return;
+  }
+  ++context.state.totals.missing_segments;
+  Block(context);
+}
+
 void OnSegmentFailed(ShardContext context,
                      const std::string& name,
                      ResultCode cause) {
@@ -194,11 +211,10 @@
     return;
   }
   if (!IsOldSegment(context, name)) {
-    ++context.state.totals.missing_segments;
-    Block(context);
+    OnMissingSegment(context);
     return;
   }
-  shard.sealed[name] = std::make_shared<const EntryTable>();
+  shard.sealed[name] = {std::make_shared<const EntryTable>(), 0};
   SendSegmentReads(context);
   FinishLoad(context);
 }
--- a/packages/ledger/src/shard_write_cmd.cc
+++ b/packages/ledger/src/shard_write_cmd.cc
@@ -93,8 +93,10 @@
 
 bool CanMakeRoom(ShardContext context, const Draft& draft) {
   const ShardState& shard = context.shard;
-  return shard.header.segments.size() < context.state.options.segment_limit &&
-         (!shard.active.empty() || draft.dirty);
+  const bool room =
+      shard.header.segments.size() < context.state.options.segment_limit ||
+      !MergeableSegment(context).empty();
+  return room && (!shard.active.empty() || draft.dirty);
 }
 
 /**
@@ -143,9 +145,10 @@
 }
 
 bool IsInSegment(const ShardState& shard, const Digest& key) {
-  return std::any_of(
-      shard.sealed.begin(), shard.sealed.end(),
-      [&key](const auto& segment) { return segment.second->contains(key); });
+  return std::any_of(shard.sealed.begin(), shard.sealed.end(),
+                     [&key](const auto& segment) {
+                       return segment.second.entries->contains(key);
+                     });
 }
 
 bool IsPrunable(ShardContext context, const Entry& entry) {
@@ -224,6 +227,7 @@
   WriteShard write{operation,     shard.id,           ShardName(shard.id),
                    shard.version, batch.header.write, {}};
   write.body = ShardToJson(batch.header, TextsAfter(shard, batch.changes));
+  PaceWrite(context);
   ++state.totals.writes;
   state.totals.write_bytes += write.body.size();
   shard.phase = ShardPhase::kWriting;
@@ -291,48 +295,29 @@
   ReadAgain(context);
 }
 
-void OnSealed(ShardContext context) {
-  ShardState& shard = context.shard;
-  Seal seal = std::move(*shard.seal);
-  shard.seal.reset();
-  shard.header.segments.push_back(seal.info);
-  shard.sealed[seal.info.name] = std::move(seal.entries);
-  shard.active.clear();
-  shard.active_bytes = 0;
-  shard.phase = ShardPhase::kReady;
-  Advance(context);
+/** Time between writes of a shard in the long run. */
+Duration WriteInterval(const LedgerOptions& options) {
+  const double per_shard = options.writes_per_second / options.shard_count;
+  return Duration(static_cast<Duration::rep>(1e6 / per_shard));
 }
 
-void NameSeal(ShardContext context) {
-  Seal& seal = *context.shard.seal;
-  seal.info.name = SegmentName(context.shard.id, context.shard.header.epoch,
-                               context.state.next_segment++);
-  seal.may_exist = false;
-  context.shard.unlisted.insert(seal.info.name);
-}
+}  // namespace
 
-void OnSealFailed(ShardContext context, ResultCode cause) {
-  Seal& seal = *context.shard.seal;
-  if (cause == ResultCode::kStoreConflict) {
-    if (seal.may_exist) {
-      OnSealed(context);
-      return;
-    }
-    context.shard.unlisted.erase(seal.info.name);
-    NameSeal(context);
-  } else if (cause != ResultCode::kStoreBusy &&
-             cause != ResultCode::kStoreUnavailable) {
-    seal.may_exist = true;
-  }
-  BackOff(context);
+void PaceWrite(ShardContext context) {
+  TimePoint& time = context.shard.write_time;
+  time = std::max(time, context.now) + WriteInterval(context.state.options);
 }
 
-}  // namespace
+TimePoint NextWrite(const LedgerState& state, const ShardState& shard) {
+  const Duration credit =
+      WriteInterval(state.options) * (state.options.write_burst - 1);
+  return std::max(shard.next_attempt, shard.write_time - credit);
+}
 
 void Advance(ShardContext context) {
   ShardState& shard = context.shard;
-  if (shard.phase != ShardPhase::kReady || context.now < shard.next_attempt ||
-      shard.waiting.empty()) {
+  if (shard.phase != ShardPhase::kReady || shard.waiting.empty() ||
+      context.now < NextWrite(context.state, shard)) {
     return;
   }
   ExpireCalls(context);
@@ -349,34 +334,6 @@
   }
 }
 
-void BeginSeal(ShardContext context) {
-  ShardState& shard = context.shard;
-  Seal seal;
-  seal.entries = std::make_shared<EntryTable>();
-  std::vector<std::string_view> texts;
-  for (const auto& [key, stored] : shard.active) {
-    if (IsExpired(stored.entry, context.state)) {
-      continue;
-    }
-    seal.info.newest = std::max(seal.info.newest, stored.entry.changed);
-    seal.entries->emplace(key, StoredEntry{stored.entry, {}});
-    texts.push_back(stored.text);
-  }
-  seal.body = SegmentToJson(shard.id, texts);
-  shard.seal = std::move(seal);
-  NameSeal(context);
-  SendSeal(context);
-}
-
-void SendSeal(ShardContext context) {
-  ShardState& shard = context.shard;
-  ++context.state.totals.seals;
-  shard.phase = ShardPhase::kSealing;
-  shard.operation = NextOperation(context.state);
-  context.effects.push_back(WriteSegment{
-      shard.operation, shard.id, shard.seal->info.name, shard.seal->body});
-}
-
 void OnShardWritten(ShardContext context, const ShardWritten& event) {
   ShardState& shard = context.shard;
   if (shard.operation != event.operation) {
@@ -387,7 +344,7 @@
   if (shard.phase == ShardPhase::kWriting) {
     OnObjectWritten(context, event);
   } else if (shard.phase == ShardPhase::kSealing) {
-    OnSealed(context);
+    OnSegmentWritten(context);
   }
 }
 
@@ -400,23 +357,7 @@
   if (shard.phase == ShardPhase::kWriting) {
     OnObjectWriteFailed(context, event.cause);
   } else if (shard.phase == ShardPhase::kSealing) {
-    OnSealFailed(context, event.cause);
-  }
-}
-
-void RemoveOldSegments(ShardContext context) {
-  ShardState& shard = context.shard;
-  const LedgerOptions& options = context.state.options;
-  if (shard.header.owner != context.state.self) {
-    return;
-  }
-  for (const SegmentInfo& info : shard.header.segments) {
-    const WallTime end =
-        info.newest + options.retention + options.removal_margin;
-    if (end <= context.state.wall && shard.removing.insert(info.name).second) {
-      context.effects.push_back(RemoveSegment{shard.id, info.name});
-      return;
-    }
+    OnSegmentWriteFailed(context, event.cause);
   }
 }
 
--- a/packages/ledger/tests/ledger_bench_test.cc
+++ b/packages/ledger/tests/ledger_bench_test.cc
@@ -48,6 +48,10 @@
     for (int step = 0; step < kSteps; ++step) {
       this->now += kStep;
       this->RunDue();
+      const std::optional<TimePoint> wake = NextWake(this->state);
+      if (wake && *wake <= this->now) {
+        this->Apply(Tick{this->Wall()});
+      }
       this->credit += this->rate * 1e-3;
       for (; this->credit >= 1; this->credit -= 1) {
         this->Claim();
@@ -163,9 +167,8 @@
   for (int rate : {20, 200, 2000}) {
     for (size_t kilobytes : {64, 512}) {
       const BenchResult result = LedgerBench(rate, kilobytes * 1024).Run();
-      if (rate >= 200) {
-        EXPECT_LT(result.writes_per_claim, 2.0);
-      }
+      EXPECT_LE(result.writes_per_second, kStoreWrites);
+      EXPECT_LE(result.writes_per_claim, 2.1);
     }
   }
 }
--- a/packages/ledger/tests/ledger_sim_test.cc
+++ b/packages/ledger/tests/ledger_sim_test.cc
@@ -489,6 +489,7 @@
   options.claims = 600;
   options.ledger.shard_count = 2;
   options.ledger.object_bytes = 5000;
+  options.ledger.segment_bytes = 12000;
   options.ledger.segment_limit = 12;
   options.ledger.body_bytes = 200;
   RunSeeds(options);
--- a/packages/ledger/tests/ledger_test.cc
+++ b/packages/ledger/tests/ledger_test.cc
@@ -25,7 +25,10 @@
 /** One owner whose store operations wait until RunStore(). */
 class LedgerTest : public testing::Test {
  protected:
-  LedgerTest() { this->options.shard_count = 1; }
+  LedgerTest() {
+    this->options.shard_count = 1;
+    this->options.writes_per_second = 1e9;
+  }
 
   void Start(MemberId self = kOwner) {
     this->state = MakeLedgerState(self, this->options, 1);
@@ -267,6 +270,7 @@
 // shard that runs a key twice or stays full for ever.
 TEST_F(LedgerTest, FullShardRefusesUntilTheRetentionEnds) {
   this->options.object_bytes = 3000;
+  this->options.segment_bytes = 3000;
   this->options.segment_limit = 3;
   this->Start();
   uint64_t granted = 0;
