Send less often per answer, and drop idle connections with a failed one

Cause: the relay woke readers for each token of one read, sent head and body of an answer separately and copied the request's JSON for the first attempt. A test with an engine whose connections all went silent showed a second fault: a stream that failed on a kept connection was retried on kept connections of the other servers, which were silent as well, until its retries were used up.

Change: readers are woken once per read of the upstream connection; the head of an answer is held back until its body follows; engine options are set when the request is parsed.

--- a/packages/traffic/include/traffic/caller_connection_base.h
+++ b/packages/traffic/include/traffic/caller_connection_base.h
@@ -40,6 +40,9 @@
    */
   bool WaitForRequest(std::chrono::milliseconds timeout, int stop_fd);
 
+  /** Sends what is held back. @return False if the connection has failed. */
+  bool Flush();
+
   /** Whether the caller has closed its side or the connection. */
   bool IsClosed() const;
 
@@ -58,10 +61,14 @@
   static constexpr size_t kBufferBytes = 16384;
 
   bool Fill();
+  bool Send(const char* source, size_t size);
 
   const socket_t sock;
   const std::chrono::milliseconds timeout;
   const size_t max_bytes;
+  /** Head of an answer until its body follows, to send both at once. */
+  std::string held;
+  bool holds_head = false;
   size_t request_bytes = 0;
   size_t begin = 0;
   size_t end = 0;
--- a/packages/traffic/include/traffic/completion_type.h
+++ b/packages/traffic/include/traffic/completion_type.h
@@ -18,9 +18,10 @@
   bool include_usage = false;  ///< The caller wants a usage event.
   std::string model;           ///< Model name.
   uint32_t max_tokens = 0;     ///< 0 if the request sets no limit.
-  nlohmann::json body;         ///< The caller's request.
-  std::string service;         ///< Service that runs the model.
-  uint32_t max_retries = 0;    ///< Allowed after failures.
+  /** The caller's request, with the options for the engine set. */
+  nlohmann::json body;
+  std::string service;       ///< Service that runs the model.
+  uint32_t max_retries = 0;  ///< Allowed after failures.
 };
 
 /** One event of an engine's output. */
--- a/packages/traffic/include/traffic/connection_pool_base.h
+++ b/packages/traffic/include/traffic/connection_pool_base.h
@@ -48,12 +48,19 @@
   /** Keeps the connection for further requests; only after a whole answer. */
   void KeepOpen() { this->reusable = true; }
 
+  /**
+   * Closes the idle connections to the same server too: whatever broke or
+   * silenced this one has probably done the same to them.
+   */
+  void MarkFailed() { this->failed = true; }
+
  private:
   ConnectionPool& pool;
   const Endpoint endpoint;
   std::unique_ptr<httplib::Client> client;
   const bool reused;
   bool reusable = false;
+  bool failed = false;
 };
 
 /** Idle connections by address. All methods are thread-safe. */
@@ -80,6 +87,7 @@
   };
 
   friend class ConnectionLease;
+  void CloseIdle(const Endpoint& endpoint);
   void GiveBack(const Endpoint& endpoint,
                 std::unique_ptr<httplib::Client> client);
 
--- a/packages/traffic/include/traffic/engine_attempt_func.h
+++ b/packages/traffic/include/traffic/engine_attempt_func.h
@@ -32,11 +32,14 @@
 /**
  * Runs @p attempt at @p server and fills @p stream until the answer is
  * complete, the attempt fails or another one takes over. Blocks.
+ * @param fresh Whether to use a new connection: after a failure, kept ones may
+ *     have failed too.
  * @note Thread-safe for different streams.
  */
 AttemptOutcome RunAttempt(const TrafficContext& context,
                           Stream& stream,
                           const StreamAttempt& attempt,
-                          const backend::BackendServer& server);
+                          const backend::BackendServer& server,
+                          bool fresh);
 
 }  // namespace boragewharf::traffic
--- a/packages/traffic/include/traffic/handover_type.h
+++ b/packages/traffic/include/traffic/handover_type.h
@@ -19,6 +19,8 @@
   std::string customer;              ///< Who may read the stream.
   Digest fingerprint{};              ///< Digest of customer and request.
   bool is_chat = false;              ///< Chat completions.
+  bool streamed = false;             ///< The caller wants events.
+  bool include_usage = false;        ///< The caller wants a usage event.
   std::string body;                  ///< The caller's request as JSON.
   std::string text;                  ///< Text received so far.
   std::vector<uint32_t> piece_ends;  ///< End of each token in the text.
@@ -29,8 +31,9 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->id, this->customer, this->fingerprint, this->is_chat,
-            this->body, this->text, this->piece_ends, this->prompt_tokens,
-            this->failures, this->remaining_ms);
+            this->streamed, this->include_usage, this->body, this->text,
+            this->piece_ends, this->prompt_tokens, this->failures,
+            this->remaining_ms);
   }
 };
 
--- a/packages/traffic/include/traffic/stream_base.h
+++ b/packages/traffic/include/traffic/stream_base.h
@@ -106,9 +106,15 @@
    */
   bool SetInterrupt(uint32_t attempt, std::function<void()> function);
 
-  /** Adds one token. @return False if the attempt is not the current one. */
+  /**
+   * Adds one token; readers see it after Publish() or the end of the stream.
+   * @return False if the attempt is not the current one.
+   */
   bool Append(uint32_t attempt, std::string_view text);
 
+  /** Wakes readers, once for all tokens that arrived together. */
+  void Publish() { this->changed.notify_all(); }
+
   /** Records the prompt's tokens as the engine counts them. */
   void SetPromptTokens(uint32_t attempt, uint32_t count);
 
--- a/packages/traffic/include/traffic/stream_runner_base.h
+++ b/packages/traffic/include/traffic/stream_runner_base.h
@@ -29,6 +29,7 @@
     StreamFailure last;                 ///< Reported if no server is left.
     uint32_t not_run = 0;               ///< Attempts that did not run.
     bool ran = false;                   ///< Some engine ran the request.
+    bool failed = false;                ///< An attempt broke or went silent.
   };
 
   bool CheckMayContinue(Stream& stream) const;
--- a/packages/traffic/src/caller_connection_base.cc
+++ b/packages/traffic/src/caller_connection_base.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace boragewharf::traffic {
 
@@ -55,6 +56,7 @@
 bool CallerConnection::WaitForRequest(std::chrono::milliseconds idle_timeout,
                                       int stop_fd) {
   this->request_bytes = this->end - this->begin;
+  this->holds_head = true;
   if (this->begin < this->end) {
     return true;
   }
@@ -95,6 +97,28 @@
 }
 
 ssize_t CallerConnection::write(const char* source, size_t size) {
+  if (std::exchange(this->holds_head, false)) {
+    this->held.assign(source, size);
+    return static_cast<ssize_t>(size);
+  }
+  bool sent = false;
+  if (this->held.empty()) {
+    sent = this->Send(source, size);
+  } else {
+    this->held.append(source, size);
+    sent = this->Flush();
+  }
+  return sent ? static_cast<ssize_t>(size) : -1;
+}
+
+bool CallerConnection::Flush() {
+  const bool sent =
+      this->held.empty() || this->Send(this->held.data(), this->held.size());
+  this->held.clear();
+  return sent;
+}
+
+bool CallerConnection::Send(const char* source, size_t size) {
   size_t sent = 0;
   while (sent < size) {
     const ssize_t count = send(this->sock, source + sent, size - sent,
@@ -106,10 +130,10 @@
     const bool is_full = errno == EAGAIN || errno == EWOULDBLOCK;
     if (errno != EINTR &&
         !(is_full && Poll(this->sock, POLLOUT, this->timeout))) {
-      return -1;
+      return false;
     }
   }
-  return static_cast<ssize_t>(sent);
+  return true;
 }
 
 void CallerConnection::get_remote_ip_and_port(std::string& ip,
@@ -132,12 +156,16 @@
 }
 
 bool CallerConnection::Fill() {
-  if (this->request_bytes > this->max_bytes ||
-      !Poll(this->sock, POLLIN, this->timeout)) {
+  // An interim answer (100 Continue) must not wait for what it asks for.
+  if (this->request_bytes > this->max_bytes || !this->Flush()) {
     return false;
   }
-  const ssize_t got =
+  ssize_t got =
       recv(this->sock, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
+  if (got < 0 && Poll(this->sock, POLLIN, this->timeout)) {
+    got = recv(this->sock, this->buffer.data(), this->buffer.size(),
+               MSG_DONTWAIT);
+  }
   if (got <= 0) {
     return false;
   }
--- a/packages/traffic/src/caller_server_base.cc
+++ b/packages/traffic/src/caller_server_base.cc
@@ -259,6 +259,7 @@
                                                   this->stop_event.Get())) {
     bool closed = false;
     served = this->process_request(connection, this->closing, closed, prepare);
+    served = connection.Flush() && served;
     if (!served || closed || this->closing) {
       break;
     }
--- a/packages/traffic/src/chunk_writer_base.cc
+++ b/packages/traffic/src/chunk_writer_base.cc
@@ -18,10 +18,11 @@
   return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-json UsageJson(const Usage& usage) {
-  return {{"prompt_tokens", usage.prompt_tokens},
-          {"completion_tokens", usage.completion_tokens},
-          {"total_tokens", usage.prompt_tokens + usage.completion_tokens}};
+std::string UsageText(const Usage& usage) {
+  const uint32_t total = usage.prompt_tokens + usage.completion_tokens;
+  return "{\"prompt_tokens\":" + std::to_string(usage.prompt_tokens) +
+         ",\"completion_tokens\":" + std::to_string(usage.completion_tokens) +
+         ",\"total_tokens\":" + std::to_string(total) + "}";
 }
 
 }  // namespace
@@ -67,7 +68,7 @@
                        : "{\"index\":0,\"text\":\"\"";
   out += ",\"finish_reason\":" + Quote(finish_reason) + "}" + this->suffix;
   if (include_usage) {
-    out += this->prefix + "],\"usage\":" + UsageJson(usage).dump() + "}\n\n";
+    out += this->prefix + "],\"usage\":" + UsageText(usage) + "}\n\n";
   }
   out += "data: [DONE]\n\n";
 }
@@ -75,20 +76,20 @@
 std::string ChunkWriter::Answer(std::string_view text,
                                 std::string_view finish_reason,
                                 const Usage& usage) const {
-  json choice{{"index", 0}, {"finish_reason", finish_reason}};
+  std::string answer = "{\"id\":\"" + this->id_text + "\",\"object\":\"";
+  answer += this->is_chat ? "chat.completion" : "text_completion";
+  answer += "\",\"created\":" + std::to_string(this->created);
+  answer += ",\"model\":" + Quote(this->model);
+  answer += ",\"choices\":[{\"index\":0,\"finish_reason\":";
+  answer += Quote(finish_reason);
   if (this->is_chat) {
-    choice["message"] = {{"role", "assistant"}, {"content", text}};
+    answer += ",\"message\":{\"role\":\"assistant\",\"content\":";
+    answer += Quote(text) + "}";
   } else {
-    choice["text"] = text;
+    answer += ",\"text\":" + Quote(text);
   }
-  const json answer{
-      {"id", this->id_text},
-      {"object", this->is_chat ? "chat.completion" : "text_completion"},
-      {"created", this->created},
-      {"model", this->model},
-      {"choices", json::array({choice})},
-      {"usage", UsageJson(usage)}};
-  return answer.dump(-1, ' ', false, json::error_handler_t::replace);
+  answer += "}],\"usage\":" + UsageText(usage) + "}";
+  return answer;
 }
 
 }  // namespace boragewharf::traffic
--- a/packages/traffic/src/completion_func.cc
+++ b/packages/traffic/src/completion_func.cc
@@ -156,6 +156,13 @@
   body["add_generation_prompt"] = false;
 }
 
+/** Name of the token limit that a request uses. */
+const char* LimitField(const json& body) {
+  const auto newer = body.find("max_completion_tokens");
+  const bool uses_newer = newer != body.end() && newer->is_number();
+  return uses_newer ? "max_completion_tokens" : "max_tokens";
+}
+
 const json& PromptOf(const CompletionRequest& request) {
   return request.body[request.is_chat ? "messages" : "prompt"];
 }
@@ -213,23 +220,27 @@
   request.model = model->get<std::string>();
   request.max_tokens = *max_tokens;
   request.body = std::move(*parsed);
+  request.body["stream"] = true;
+  request.body["stream_options"] = {{"include_usage", true}};
+  if (request.max_tokens > 0) {
+    request.body[LimitField(request.body)] = request.max_tokens;
+  }
   return request;
 }
 
 std::string UpstreamBody(const CompletionRequest& request,
                          std::string_view text,
                          uint32_t received) {
+  if (received == 0) {
+    return request.body.dump();
+  }
   json body = request.body;
-  body["stream"] = true;
-  body["stream_options"] = {{"include_usage", true}};
   if (request.max_tokens > 0) {
-    const bool is_newer = body.contains("max_completion_tokens");
-    body[is_newer ? "max_completion_tokens" : "max_tokens"] =
-        request.max_tokens - received;
+    body[LimitField(body)] = request.max_tokens - received;
   }
-  if (!text.empty() && request.is_chat) {
+  if (request.is_chat) {
     ContinueChat(body, text);
-  } else if (!text.empty()) {
+  } else {
     body["prompt"] = body["prompt"].get<std::string>() + std::string(text);
   }
   return body.dump();
--- a/packages/traffic/src/completion_relay_base.cc
+++ b/packages/traffic/src/completion_relay_base.cc
@@ -225,6 +225,8 @@
   if (!request || !this->Resolve(*request, *snapshot->configuration)) {
     return false;
   }
+  request->streamed = transfer.streamed;
+  request->include_usage = transfer.include_usage;
   const TimePoint deadline =
       BootClock::now() + std::chrono::milliseconds(transfer.remaining_ms);
   const auto stream = std::make_shared<Stream>(transfer.id, transfer.customer,
--- a/packages/traffic/src/connection_pool_base.cc
+++ b/packages/traffic/src/connection_pool_base.cc
@@ -18,7 +18,9 @@
       reused(was_used) {}
 
 ConnectionLease::~ConnectionLease() {
-  if (this->reusable) {
+  if (this->failed) {
+    this->pool.CloseIdle(this->endpoint);
+  } else if (this->reusable) {
     this->pool.GiveBack(this->endpoint, std::move(this->client));
   }
 }
@@ -54,6 +56,16 @@
                                            false);
 }
 
+void ConnectionPool::CloseIdle(const Endpoint& endpoint) {
+  IdleClients closing;
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->idle.find(endpoint);
+  if (found != this->idle.end()) {
+    closing = std::move(found->second);
+    this->idle.erase(found);
+  }
+}
+
 void ConnectionPool::GiveBack(const Endpoint& endpoint,
                               std::unique_ptr<httplib::Client> client) {
   const std::lock_guard lock(this->mutex);
--- a/packages/traffic/src/engine_attempt_func.cc
+++ b/packages/traffic/src/engine_attempt_func.cc
@@ -49,8 +49,12 @@
           bytes.substr(0, kMaxErrorBytes - this->error_body.size()));
       return true;
     }
-    return this->parser.Feed(
+    const bool proceed = this->parser.Feed(
         bytes, [this](const SseEvent& event) { return this->Handle(event); });
+    if (std::exchange(this->has_unpublished, false)) {
+      this->stream.Publish();
+    }
+    return proceed;
   }
 
   AttemptOutcome Evaluate(bool received_whole, httplib::Error error) {
@@ -94,11 +98,13 @@
     }
     this->context.counters.tokens.Add();
     this->fenced = !this->stream.Append(this->attempt.number, chunk->text);
+    this->has_unpublished = true;
     return !this->fenced;
   }
 
   void End() {
     this->ended = true;
+    this->has_unpublished = false;
     this->stream.Finish(this->attempt.number, this->finish_reason.empty()
                                                   ? "stop"
                                                   : this->finish_reason);
@@ -151,6 +157,7 @@
   std::string finish_reason;
   bool ended = false;
   bool fenced = false;
+  bool has_unpublished = false;
 };
 
 httplib::Request BuildRequest(const Stream& stream,
@@ -194,6 +201,8 @@
   AttemptOutcome outcome = receiver.Evaluate(whole, error);
   if (whole) {
     lease.KeepOpen();
+  } else if (outcome.result != AttemptResult::kFenced) {
+    lease.MarkFailed();
   }
   if (outcome.result == AttemptResult::kBroken && lease.IsReused() &&
       !receiver.HasAnswer()) {
@@ -207,11 +216,12 @@
 AttemptOutcome RunAttempt(const TrafficContext& context,
                           Stream& stream,
                           const StreamAttempt& attempt,
-                          const backend::BackendServer& server) {
+                          const backend::BackendServer& server,
+                          bool fresh) {
   context.counters.attempts.Add();
   context.in_flight.Add(server.instance, 1);
   const ScopeGuard leave([&] { context.in_flight.Add(server.instance, -1); });
-  {
+  if (!fresh) {
     const auto lease = context.connections.Take(server.address);
     std::optional<AttemptOutcome> outcome =
         Exchange(context, stream, attempt, *lease);
@@ -219,8 +229,8 @@
       return *std::move(outcome);
     }
   }
-  const auto fresh = context.connections.TakeFresh(server.address);
-  return *Exchange(context, stream, attempt, *fresh);
+  const auto lease = context.connections.TakeFresh(server.address);
+  return *Exchange(context, stream, attempt, *lease);
 }
 
 }  // namespace boragewharf::traffic
--- a/packages/traffic/src/plain_relay_base.cc
+++ b/packages/traffic/src/plain_relay_base.cc
@@ -138,8 +138,9 @@
     }
     // A kept connection may be closed by the server just when it is used, which
     // leaves the outcome open; only idempotent calls can be repeated then.
+    // After a failure, other kept connections may have failed too.
     const bool repeatable = IsIdempotentMethod(call.request.method);
-    Sent sent = this->Send(call, job, *server, !repeatable);
+    Sent sent = this->Send(call, job, *server, !repeatable || tries > 0);
     if (sent.stale) {
       sent = this->Send(call, job, *server, true);
     }
@@ -296,6 +297,7 @@
     this->context.providers.observations.Observe(observation);
     return sent;
   }
+  lease->MarkFailed();
   sent.detail = httplib::to_string(error);
   sent.not_run = error == httplib::Error::Connection ||
                  error == httplib::Error::ConnectionTimeout;
--- a/packages/traffic/src/stream_base.cc
+++ b/packages/traffic/src/stream_base.cc
@@ -56,15 +56,12 @@
 }
 
 bool Stream::Append(uint32_t number, std::string_view piece) {
-  {
-    const std::lock_guard lock(this->mutex);
-    if (number != this->attempt) {
-      return false;
-    }
-    this->text += piece;
-    this->ends.push_back(static_cast<uint32_t>(this->text.size()));
+  const std::lock_guard lock(this->mutex);
+  if (number != this->attempt) {
+    return false;
   }
-  this->changed.notify_all();
+  this->text += piece;
+  this->ends.push_back(static_cast<uint32_t>(this->text.size()));
   return true;
 }
 
@@ -125,6 +122,8 @@
   transfer.customer = this->customer;
   transfer.fingerprint = this->fingerprint;
   transfer.is_chat = this->request.is_chat;
+  transfer.streamed = this->request.streamed;
+  transfer.include_usage = this->request.include_usage;
   transfer.body = this->request.body.dump();
   transfer.text = this->text;
   transfer.piece_ends = this->ends;
--- a/packages/traffic/src/stream_runner_base.cc
+++ b/packages/traffic/src/stream_runner_base.cc
@@ -66,7 +66,7 @@
     }
     this->CountRecomputed(stream, *attempt, progress);
     AttemptOutcome outcome =
-        RunAttempt(this->context, stream, *attempt, *server);
+        RunAttempt(this->context, stream, *attempt, *server, progress.failed);
     this->Handle(stream, *server, std::move(outcome), progress);
   }
 }
@@ -177,6 +177,7 @@
                                  const AttemptOutcome& outcome,
                                  Progress& progress) const {
   progress.ran = true;
+  progress.failed = true;
   progress.excluded.assign(1, server.instance);
   const bool silent = outcome.result == AttemptResult::kSilent;
   progress.last = MakeFailure(
--- a/packages/traffic/tests/recovery_test.cc
+++ b/packages/traffic/tests/recovery_test.cc
@@ -101,11 +101,29 @@
 // Guards against streams that wait for ever on a connection that went silent.
 TEST_F(RecoveryTest, StreamsResumeAfterConnectionGoesSilent) {
   const auto answers = this->RunWithFault(
-      30, [this] { this->engines[1]->SilenceOpenRequests(); });
+      30, [this] { this->engines[1]->SilenceOpenConnections(); });
   ExpectAllComplete(answers);
   EXPECT_GT(this->entry->observations.Count(ObservationKind::kSilent), 0);
 }
 
+// Guards against idle connections to a silent server that each delay a later
+// request by the silence bound.
+TEST_F(RecoveryTest, IdleConnectionsAreDroppedWithTheSilentOne) {
+  this->RunWithFault(30, [] {});
+  for (const auto& engine : this->engines) {
+    engine->SilenceOpenConnections();
+  }
+  const auto started = BootClock::now();
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(this->Stream(Completion("next", 3)).done);
+  }
+  // One silence bound per server, and the back-off after a second failure.
+  const auto bound = this->options.silence_bound * kEngines;
+  EXPECT_LT(BootClock::now() - started, bound + std::chrono::seconds(2));
+  EXPECT_LE(this->entry->observations.Count(ObservationKind::kSilent),
+            kEngines);
+}
+
 // Guards against moves that recompute streams which end in time anyway, and
 // against streams that stay on a reclaimed server.
 TEST_F(RecoveryTest, OnlyStreamsThatWouldNotFinishAreMoved) {
--- a/tests/standins/engine_standin_base.cc
+++ b/tests/standins/engine_standin_base.cc
@@ -17,6 +17,7 @@
 using nlohmann::json;
 
 constexpr size_t kThreads = 320;
+constexpr std::chrono::milliseconds kOpenCheckInterval{100};
 constexpr size_t kBlockBytes = 256;
 constexpr size_t kLoadSamples = 4096;
 constexpr uint32_t kDefaultMaxTokens = 16;
@@ -59,6 +60,8 @@
 
 struct EngineStandin::Run {
   uint64_t number = 0;
+  int port = 0;  ///< The caller's.
+  std::function<bool()> is_open = [] { return true; };
   std::string id;
   std::string model;
   std::string text;  ///< Prompt and generated text.
@@ -120,9 +123,10 @@
   this->changed.notify_all();
 }
 
-void EngineStandin::SilenceOpenRequests() {
+void EngineStandin::SilenceOpenConnections() {
   const std::lock_guard lock(this->mutex);
-  this->silent_below = this->next_run;
+  this->silent_ports.swap(this->ports);
+  this->ports.clear();
   this->changed.notify_all();
 }
 
@@ -173,7 +177,7 @@
       "/control", [this](const Request& request, Response& response) {
         const json body = json::parse(request.body);
         if (body.value("silence_open", false)) {
-          this->SilenceOpenRequests();
+          this->SilenceOpenConnections();
         }
         this->Change([&](EngineControl& current) { from_json(body, current); });
         const std::lock_guard lock(this->mutex);
@@ -203,6 +207,7 @@
     return;
   }
   auto run = std::make_shared<Run>();
+  run->port = request.remote_port;
   run->id = request.get_header_value("X-Request-Id");
   run->model = body.value("model", "");
   run->text = is_chat ? ChatPrompt(body) : body.value("prompt", "");
@@ -230,6 +235,9 @@
       return false;
     }
     run.number = this->next_run++;
+    if (!this->silent_ports.contains(run.port)) {
+      this->ports.insert(run.port);
+    }
     ++this->runs[run.id];
     const std::string& marker = this->control.crash_marker;
     crash = !marker.empty() && run.text.find(marker) != std::string::npos;
@@ -248,10 +256,15 @@
   std::unique_lock lock(this->mutex);
   const auto end = std::chrono::steady_clock::now() + time;
   this->changed.wait_until(lock, end, [this] { return this->killed; });
-  this->changed.wait(lock, [&] {
-    const bool silent = run.number < this->silent_below;
+  const auto may_proceed = [&] {
+    const bool silent = this->silent_ports.contains(run.port);
     return this->killed || (!silent && !this->control.freeze);
-  });
+  };
+  while (!this->changed.wait_for(lock, kOpenCheckInterval, may_proceed)) {
+    if (!run.is_open()) {
+      return false;
+    }
+  }
   return !this->killed;
 }
 
@@ -361,6 +374,7 @@
                                    httplib::Response& response) {
   const auto provide = [this, run](size_t, httplib::DataSink& sink) {
     std::string token;
+    run->is_open = [&sink] { return sink.is_writable(); };
     if (!this->EmitNext(*run, token)) {
       return false;
     }
--- a/tests/standins/engine_standin_base.h
+++ b/tests/standins/engine_standin_base.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -52,8 +53,11 @@
   /** Applies @p change to the control settings. */
   void Change(const std::function<void(EngineControl&)>& change);
 
-  /** Requests that are open now never get another byte; new ones work. */
-  void SilenceOpenRequests();
+  /**
+   * Connections used so far never carry another byte, whether they are idle
+   * or not; new ones work.
+   */
+  void SilenceOpenConnections();
 
   /** Cuts all answers short and stops serving, as a crash does. */
   void Kill();
@@ -104,7 +108,8 @@
   std::deque<LoadSample> load;
   nlohmann::json orders = nlohmann::json::array();
   uint64_t highest_fencing = 0;
-  uint64_t silent_below = 0;  ///< Runs with a lower number are silent.
+  std::set<int> ports;         ///< Caller's ports seen so far.
+  std::set<int> silent_ports;  ///< Those that went silent.
   uint64_t next_run = 0;
   uint64_t tokens = 0;
   uint32_t running = 0;
