--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Installs, builds and starts three daemons in three availability zones with
-# stand-ins of the platform, two model engines and one plain service; files a
+# stand-ins of the platform, two model engines and two plain services; files a
 # ticket; sends a streamed completion, a plain call and a repeated
 # non-idempotent call; prints the answers and stops everything.
 #
@@ -81,6 +81,7 @@
 start engine-0 "$bin/engine_standin" --token-us 20000
 start engine-1 "$bin/engine_standin" --token-us 20000
 start plain-0 "$bin/plain_standin"
+start plain-1 "$bin/plain_standin"
 api="$(first_line platform | cut -d' ' -f2)"
 objects="http://$api/apis/boragewharf.dev/v1/namespaces/default"
 
@@ -102,6 +103,7 @@
 add_instance engine-0 "$(backend_spec llm "$(first_line engine-0 | cut -d' ' -f2)" zone-a)"
 add_instance engine-1 "$(backend_spec llm "$(first_line engine-1 | cut -d' ' -f2)" zone-b)"
 add_instance plain-0 "$(backend_spec desk "$(first_line plain-0 | cut -d' ' -f2)" zone-c)"
+add_instance plain-1 "$(backend_spec lookup "$(first_line plain-1 | cut -d' ' -f2)" zone-a)"
 
 operator_output="$("$bin/boragewharfctl" operator-key new)"
 sed -n 2p <<<"$operator_output" | tr -d ' ' >"$work/operator.key"
@@ -139,7 +141,7 @@
   for ((tries = 0; tries < 200; tries++)); do
     if ctl --json status 2>/dev/null |
       jq -e '.servingLease and ([.members[] | select(.status == "alive")] | length == 3)
-             and (.backendServers | length == 3)' >/dev/null; then
+             and (.backendServers | length == 4)' >/dev/null; then
       return
     fi
     sleep 0.1
@@ -154,12 +156,14 @@
   {kind: "customer", name: "demo", tokens: [$hash]},
   {kind: "service", name: "llm", type: "model"},
   {kind: "service", name: "desk", type: "plain", requireIdempotencyKey: true},
+  {kind: "service", name: "lookup", type: "plain"},
   {kind: "model", name: "small", service: "llm", version: "1", replicas: 2}]}' >"$work/ticket.json"
 log "== ticket"
 log "$(ctl ticket apply "$work/ticket.json")"
 
 if $serve; then
-  jq -cn --arg token "$token" '{entries: $ARGS.positional, token: $token}' --args "${entries[@]}"
+  jq -cn --arg token "$token" --arg probe "127.0.0.1:$(first_line plain-1 | cut -d' ' -f2)" \
+    '{entries: $ARGS.positional, token: $token, probeService: $probe}' --args "${entries[@]}"
   # Sleeps in short steps: bash runs a trap only between commands.
   while true; do sleep 1; done
 fi
