Let a repeated handover replace the stream of the first one

Cause: if the answer to a handover is lost, the sender goes on with the stream and offers it again later; the peer refused the repeat, because it held the stream already, with an older text.

Change: a repeat of the same customer's stream cancels the earlier copy and continues from the later text.

Conclusion: a lost handover answer no longer blocks the drain.

--- a/packages/traffic/src/completion_relay_base.cc
+++ b/packages/traffic/src/completion_relay_base.cc
@@ -233,6 +233,13 @@
                                                *std::move(request), deadline,
                                                transfer.fingerprint);
   stream->Restore(transfer);
+  // A repeat means that the answer to an earlier offer was lost; the sender has
+  // gone on since, so its present text is the one that counts.
+  const std::shared_ptr<Stream> earlier = this->streams.Find(transfer.id);
+  if (earlier && earlier->customer == transfer.customer) {
+    earlier->Cancel();
+    this->streams.Remove(transfer.id);
+  }
   if (!this->Launch(stream)) {
     return false;
   }
--- a/packages/traffic/tests/recovery_test.cc
+++ b/packages/traffic/tests/recovery_test.cc
@@ -209,6 +209,29 @@
   }
 }
 
+// Guards against a stream that continues from an outdated text because the
+// answer to the first offer of it was lost.
+TEST_F(RecoveryTest, RepeatedHandoverContinuesFromTheLaterText) {
+  StreamTransfer transfer;
+  transfer.id = NewRequestId();
+  transfer.customer = "alpha";
+  transfer.streamed = true;
+  transfer.body = Completion("offered twice", 50).dump();
+  transfer.remaining_ms = 20000;
+  ASSERT_TRUE(this->entry->front.Adopt(transfer));
+  transfer.text = " chosen";
+  transfer.piece_ends = {7};
+  ASSERT_TRUE(this->entry->front.Adopt(transfer));
+  const StreamedAnswer answer =
+      ReadStream(this->entry->port, "GET",
+                 "/v1/streams/" + ToString(transfer.id) + "?from=0", "");
+  EXPECT_TRUE(answer.done);
+  EXPECT_EQ(answer.text,
+            " chosen" + standins::ExpectedText("offered twice chosen", 49));
+  transfer.piece_ends = {9};
+  EXPECT_FALSE(this->entry->front.Adopt(transfer));
+}
+
 // Guards against callers of plain JSON answers that a drain leaves without
 // answer.
 TEST_F(RecoveryTest, DrainRedirectsPlainAnswers) {
