platform: accept cloud orders only on an answer of the cloud API

Cause: any 200, or a foreign 404 or 409, counted as an order carried out. Calls refused before sending were not counted. Two faults of the test programs: stop() of the library's server is ignored before it runs, so that a short test could hang in the stand-in's destructor; and the raw test server closed connections without announcing it, so that the client sometimes sent the next request on a closing connection.

Change: an order needs an answer with a JSON object (or status 204), otherwise it is unknown. Refused calls are counted. The stand-in and the fault proxy wait until their control server answers. The raw server sends "Connection: close"; expected codes are unchanged.

A server that closes an idle connection at the moment of reuse still gives "unknown" for a write that was not applied, which is the safe side.

--- a/packages/platform/include/platform/http_object_store_base.h
+++ b/packages/platform/include/platform/http_object_store_base.h
@@ -41,6 +41,8 @@
   static constexpr uint32_t kDefaultObjectsPerPage = 500;
 
  private:
+  /** Counts a call that was not sent, under the last reason. */
+  std::nullopt_t Refuse(std::string_view label);
   std::optional<ObjectVersion> Write(const HttpCall& call,
                                      const ObjectKey& key);
 
--- a/packages/platform/src/http_cloud_api_base.cc
+++ b/packages/platform/src/http_cloud_api_base.cc
@@ -48,6 +48,23 @@
   return refused || reply.status == 503 ? ResultCode::kCloudRefused : lost;
 }
 
+/**
+ * Maps the answer to an order.
+ * @param done_status Status that says that nothing is left to do.
+ * @return kStoreUnknown for an answer without a JSON object, because it may
+ *     come from something else than the cloud API.
+ */
+ResultCode ClassifyOrder(const HttpReply& reply, int done_status) {
+  constexpr int kNoContent = 204;
+  const bool succeeded = reply.status >= 200 && reply.status < 300;
+  if (!succeeded && reply.status != done_status) {
+    return Classify(reply, /*is_order=*/true);
+  }
+  const bool is_object = Json::parse(reply.body, nullptr, false).is_object();
+  return is_object || reply.status == kNoContent ? ResultCode::kOk
+                                                 : ResultCode::kStoreUnknown;
+}
+
 bool Finish(HttpChannel& channel, const HttpCall& call, ResultCode code) {
   channel.CountResult(call.label, code);
   if (code != ResultCode::kOk) {
@@ -110,10 +127,8 @@
       "start", "POST", std::string(kInstancesPath),
       body.dump(-1, ' ', false, Json::error_handler_t::replace)};
   const HttpReply reply = this->channel.Perform(call);
-  const bool exists =
-      reply.outcome == HttpOutcome::kAnswered && reply.status == 409;
-  return Finish(this->channel, call,
-                exists ? ResultCode::kOk : Classify(reply, /*is_order=*/true));
+  constexpr int kConflict = 409;
+  return Finish(this->channel, call, ClassifyOrder(reply, kConflict));
 }
 
 bool HttpCloudApi::Delete(std::string_view instance) {
@@ -126,10 +141,8 @@
                       std::string(kInstancesPath).append("/").append(instance),
                       {}};
   const HttpReply reply = this->channel.Perform(call);
-  const bool gone =
-      reply.outcome == HttpOutcome::kAnswered && reply.status == 404;
-  return Finish(this->channel, call,
-                gone ? ResultCode::kOk : Classify(reply, /*is_order=*/true));
+  constexpr int kNotFound = 404;
+  return Finish(this->channel, call, ClassifyOrder(reply, kNotFound));
 }
 
 }  // namespace boragewharf
--- a/packages/platform/src/http_object_store_base.cc
+++ b/packages/platform/src/http_object_store_base.cc
@@ -237,9 +237,14 @@
     : channel(std::move(options), counters, "store"),
       page_limit(objects_per_page) {}
 
+std::nullopt_t HttpObjectStore::Refuse(std::string_view label) {
+  this->channel.CountResult(label, LastReason().code);
+  return std::nullopt;
+}
+
 std::optional<StoredObject> HttpObjectStore::Read(const ObjectKey& key) {
   if (!CheckKey(key)) {
-    return std::nullopt;
+    return this->Refuse("read");
   }
   const HttpCall call{"read", "GET", ObjectPath(key), {}};
   const HttpReply reply = this->channel.Perform(call);
@@ -282,11 +287,11 @@
 std::optional<ObjectVersion> HttpObjectStore::Create(const ObjectKey& key,
                                                      std::string_view body) {
   if (!CheckKey(key)) {
-    return std::nullopt;
+    return this->Refuse("create");
   }
   std::optional<std::string> envelope = Envelope(key, nullptr, body);
   if (!envelope) {
-    return std::nullopt;
+    return this->Refuse("create");
   }
   return this->Write(
       {"create", "POST", CollectionPath(key.kind), std::move(*envelope)}, key);
@@ -297,11 +302,11 @@
     const ObjectVersion& expected,
     std::string_view body) {
   if (!CheckKey(key)) {
-    return std::nullopt;
+    return this->Refuse("update");
   }
   std::optional<std::string> envelope = Envelope(key, &expected, body);
   if (!envelope) {
-    return std::nullopt;
+    return this->Refuse("update");
   }
   return this->Write({"update", "PUT", ObjectPath(key), std::move(*envelope)},
                      key);
@@ -310,6 +315,7 @@
 bool HttpObjectStore::Remove(const ObjectKey& key,
                              const ObjectVersion& expected) {
   if (!CheckKey(key)) {
+    this->Refuse("remove");
     return false;
   }
   const Json body = {{"kind", "DeleteOptions"},
--- a/tests/standins/fault_proxy_main.cc
+++ b/tests/standins/fault_proxy_main.cc
@@ -61,6 +61,8 @@
     return 1;
   }
   std::thread server([&control] { control.listen_after_bind(); });
+  // The library ignores stop() until its server runs.
+  httplib::Client("127.0.0.1", control_port).Get("/control");
   std::printf("control 127.0.0.1:%d %s\n", control_port,
               proxy.Describe().c_str());
   std::fflush(stdout);
--- a/tests/standins/platform_client_test.cc
+++ b/tests/standins/platform_client_test.cc
@@ -161,6 +161,9 @@
     return store.Read({"leases", "../configs/current"});
   });
   EXPECT_EQ(server.State().CallCounts()["calls"], standin::Json::object());
+  EXPECT_NE(
+      counters.RenderText().find(R"(call="create",result="body_too_large"} 1)"),
+      std::string::npos);
 }
 
 // Guards against instances that disappear because a page was lost or a record
@@ -282,6 +285,12 @@
  public:
   RawServer(std::string bytes, milliseconds per_byte)
       : answer(std::move(bytes)), pace(per_byte) {
+    // It serves one request per connection; a client that is not told so can
+    // send the next one on a connection that is being closed.
+    const size_t line_end = this->answer.find("\r\n");
+    if (this->answer.starts_with("HTTP/")) {
+      this->answer.insert(line_end, "\r\nConnection: close");
+    }
     this->listener = UniqueFd(socket(AF_INET, SOCK_STREAM, 0));
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -321,13 +330,28 @@
     }
   }
 
-  const std::string answer;
+  std::string answer;
   const milliseconds pace;
   UniqueFd listener;
   uint16_t port = 0;
   std::thread thread;
 };
 
+// Guards against orders that count as carried out because something else than
+// the cloud API has answered.
+TEST(PlatformRawAnswerTest, ForeignAnswerToOrder) {
+  for (const char* status : {"200 OK", "404 Not Found", "409 Conflict"}) {
+    SCOPED_TRACE(status);
+    RawServer server(std::string("HTTP/1.1 ") + status +
+                         "\r\nContent-Length: 6\r\n\r\n<html>",
+                     milliseconds(0));
+    CounterRegistry counters;
+    HttpCloudApi cloud(OptionsFor(server.Port()), counters);
+    EXPECT_FALSE(cloud.Start({"new-1", "wharf-llm", "okh-a", "a100", true}));
+    EXPECT_FALSE(cloud.Delete("old-1"));
+  }
+}
+
 struct RawCase {
   const char* name;
   const char* answer;
@@ -379,6 +403,8 @@
     EXPECT_EQ(LastReason().code, row.write_code);
     EXPECT_FALSE(store.Remove({"configs", "current"}, {"1"}));
     EXPECT_EQ(LastReason().code, row.write_code);
+    HttpCloudApi cloud(OptionsFor(server.Port()), counters);
+    EXPECT_FALSE(cloud.ReadNotices());
   }
 }
 
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -91,6 +91,8 @@
   this->control_port = BindOrExit(this->control, this->control_port);
   this->control_thread =
       std::thread([this] { this->control.listen_after_bind(); });
+  // The library ignores stop() until its server runs.
+  httplib::Client("127.0.0.1", this->control_port).Get("/ready");
   const std::lock_guard lock(this->api_mutex);
   this->OpenApi();
 }
