Accept a ticket only after leases and departures have run out

Acceptance waits 5 s after a member left or was forgotten, waits 10 s instead of 5 s when one member is unheard, so that a holder that died is noticed, and counts listed instances without a known member as unheard once there is an unheard member. An operator's answer may take 15 s.

--- a/packages/config/include/config/acceptance_func.h
+++ b/packages/config/include/config/acceptance_func.h
@@ -19,6 +19,13 @@
  */
 inline constexpr Duration kLeaseRunOut = std::chrono::seconds(5);
 
+/**
+ * As kLeaseRunOut, with 5 s in which a holder that has meanwhile died is
+ * noticed: a holder that restarts without the revision could otherwise exchange
+ * leases with the one unheard member.
+ */
+inline constexpr Duration kUnheardRunOut = std::chrono::seconds(10);
+
 /**
  * What a member knows about the distribution of the staged revision. Required
  * members are all known ones that have not left and that the instance list
@@ -30,6 +37,8 @@
   bool heard_all_hold = false;    ///< All other required members hold it.
   bool digests_agree = false;     ///< All report the same member set.
   Duration since_last_hold{0};    ///< Since the last was observed to hold it.
+  /** Since a member left or was forgotten, or this process started. */
+  Duration since_departure{0};
 };
 
 enum class AcceptanceDecision : uint8_t {
--- a/packages/config/include/config/config_event_type.h
+++ b/packages/config/include/config/config_event_type.h
@@ -12,6 +12,7 @@
 
 #include "base/result_type.h"
 #include "base/strong_id_type.h"
+#include "base/time_type.h"
 #include "config/document_type.h"
 
 namespace boragewharf::config {
@@ -71,6 +72,8 @@
   std::vector<ObservedMember> live;  ///< Heard, neither suspected nor failed.
   std::vector<std::string> unheard;  ///< Instances suspected or failed.
   bool digests_agree = false;        ///< All report the same member set.
+  /** When a member last left or was forgotten, or this process started. */
+  TimePoint last_departure;
 };
 
 /** Time passes; sent at least every 500 ms. */
--- a/packages/config/include/config/config_func.h
+++ b/packages/config/include/config/config_func.h
@@ -15,7 +15,7 @@
 namespace boragewharf::config {
 
 /** Longest time until a submitted ticket is answered, once it is staged. */
-inline constexpr Duration kAnswerBound = std::chrono::seconds(10);
+inline constexpr Duration kAnswerBound = std::chrono::seconds(15);
 
 /** Mean time between two reads of the store. */
 inline constexpr Duration kPollPeriod = std::chrono::seconds(2);
--- a/packages/config/include/config/config_state_type.h
+++ b/packages/config/include/config/config_state_type.h
@@ -62,6 +62,7 @@
   std::vector<ObservedMember> live;  ///< Heard members.
   std::vector<std::string> unheard;  ///< Instances of unheard members.
   bool digests_agree = false;        ///< All report the same member set.
+  TimePoint last_departure;          ///< Or the start of this process.
   /** When a live member was first observed to hold the staged revision. */
   std::map<MemberId, TimePoint> held_since;
 };
--- a/packages/config/src/acceptance_func.cc
+++ b/packages/config/src/acceptance_func.cc
@@ -13,12 +13,15 @@
   if (inputs.unheard >= 2) {
     return AcceptanceDecision::kWaitForUnheard;
   }
+  if (inputs.since_departure < kLeaseRunOut) {
+    return AcceptanceDecision::kWaitForLeases;
+  }
   if (inputs.unheard == 0 && inputs.digests_agree) {
     return AcceptanceDecision::kAccept;
   }
-  return inputs.since_last_hold >= kLeaseRunOut
-             ? AcceptanceDecision::kAccept
-             : AcceptanceDecision::kWaitForLeases;
+  const Duration wait = inputs.unheard == 0 ? kLeaseRunOut : kUnheardRunOut;
+  return inputs.since_last_hold >= wait ? AcceptanceDecision::kAccept
+                                        : AcceptanceDecision::kWaitForLeases;
 }
 
 }  // namespace boragewharf::config
--- a/packages/config/src/config_func.cc
+++ b/packages/config/src/config_func.cc
@@ -81,6 +81,7 @@
     last = std::max(last, held->second);
   }
   inputs.since_last_hold = now - last;
+  inputs.since_departure = now - members.last_departure;
   return inputs;
 }
 
--- a/packages/config/src/config_sync_func.cc
+++ b/packages/config/src/config_sync_func.cc
@@ -233,6 +233,7 @@
   members.live = event.live;
   members.unheard = event.unheard;
   members.digests_agree = event.digests_agree;
+  members.last_departure = event.last_departure;
   UpdateHolders(step);
 }
 
--- a/packages/control/src/control_func.cc
+++ b/packages/control/src/control_func.cc
@@ -96,7 +96,16 @@
        membership::UnheardMembers(state.membership)) {
     observed.unheard.push_back(member.instance);
   }
+  // An instance that is listed but not known may run a process that only the
+  // unheard members know, and that exchanges leases with them.
+  if (!observed.unheard.empty()) {
+    for (const std::string& instance :
+         membership::ListedWithoutMember(state.membership)) {
+      observed.unheard.push_back(instance);
+    }
+  }
   observed.digests_agree = membership::DigestsAgree(state.membership);
+  observed.last_departure = membership::LastDeparture(state.membership);
   return observed;
 }
 
--- a/packages/ctl/src/admin_client_base.cc
+++ b/packages/ctl/src/admin_client_base.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr time_t kConnectSeconds = 5;
-/** A ticket is answered within 10 s; the rest is for a slow store. */
+/** A ticket is answered within 15 s; the rest is for a slow store. */
 constexpr time_t kReadSeconds = 30;
 
 httplib::Client MakeClient(const Endpoint& endpoint) {
