--- a/packages/ctl/src/options_func.cc
+++ b/packages/ctl/src/options_func.cc
@@ -36,7 +36,7 @@
     "  -k, --key-file FILE     file with the operator key\n"
     "  -j, --json              print answers as JSON\n"
     "  -h, --help              print this text\n\n"
-    "Commands (those with * need --address and --key-file):\n";
+    "Commands (those with * need --key-file, and --address or ADDRESS):\n";
 
 constexpr std::string_view kHelpEnd =
     "\nTo add a customer:\n"
@@ -79,17 +79,22 @@
   return text ? std::string(text.get()) : std::string();
 }
 
+/** Commands with this argument act on exactly the daemon that it names. */
+constexpr std::string_view kAddressArgument = "ADDRESS";
+
+bool ReadAddress(const std::string& text, Options& options) {
+  options.address = ParseEndpoint(text);
+  if (!options.address) {
+    Fail(ResultCode::kUsage, "address " + text + ": expected IP:PORT");
+    return false;
+  }
+  return true;
+}
+
 bool ReadOption(poptContext context, int value, Options& options) {
   switch (value) {
-    case kAddress: {
-      const std::string text = TakeText(context);
-      options.address = ParseEndpoint(text);
-      if (!options.address) {
-        Fail(ResultCode::kUsage, "--address " + text + ": expected IP:PORT");
-        return false;
-      }
-      return true;
-    }
+    case kAddress:
+      return ReadAddress(TakeText(context), options);
     case kKeyFile:
       options.key_file = TakeText(context);
       return true;
@@ -119,7 +124,8 @@
       }
       options.command = row.command;
       options.argument = arguments == 0 ? "" : words.back();
-      return true;
+      return row.argument != kAddressArgument ||
+             ReadAddress(options.argument, options);
     }
   }
   Fail(ResultCode::kUsage,
--- a/packages/daemon/src/operator_service_base.cc
+++ b/packages/daemon/src/operator_service_base.cc
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/result_func.h"
-#include "config/config_func.h"
+#include "config/report_func.h"
 #include "control/control_func.h"
 
 namespace boragewharf::daemon {
@@ -34,42 +34,8 @@
 }
 
 traffic::OperatorAnswer TicketAnswer(const config::AnswerTicket& answer) {
-  if (answer.code == ResultCode::kOk) {
-    return {200, Json{{"state", "accepted"},
-                      {"revision", answer.revision.value},
-                      {"detail", answer.detail}}
-                     .dump()};
-  }
-  if (answer.code == ResultCode::kTicketPending) {
-    return {202, Json{{"state", "pending"},
-                      {"revision", answer.revision.value},
-                      {"waitingFor", answer.waiting_for},
-                      {"detail", answer.detail}}
-                     .dump()};
-  }
-  return Refusal(answer.code, answer.detail);
-}
-
-Json TicketJson(const config::TicketRecord& record, std::string_view status) {
-  return {{"ticket", record.number.value},
-          {"revision", record.revision.value},
-          {"state", status},
-          {"summary", record.summary},
-          {"digest", record.digest}};
-}
-
-Json AllTickets(const control::ControlState& state) {
-  const config::Document& document = state.config.document;
-  Json tickets = Json::array();
-  for (const config::TicketRecord& record : document.tickets) {
-    tickets.push_back(TicketJson(record, "accepted"));
-  }
-  if (document.staged) {
-    Json staged = TicketJson(document.staged->record, "pending");
-    staged["waitingFor"] = config::WaitingFor(state.config);
-    tickets.push_back(std::move(staged));
-  }
-  return tickets;
+  return {GetResultInfo(answer.code).http_status,
+          config::AnswerJson(answer).dump()};
 }
 
 }  // namespace
@@ -97,12 +63,11 @@
 }
 
 traffic::OperatorAnswer OperatorService::ListTickets() {
-  Json list;
+  std::string body;
   this->loop.Inspect([&](const control::ControlState& state) {
-    list = {{"revision", config::HeldRevision(state.config.document).value},
-            {"tickets", AllTickets(state)}};
+    body = config::TicketListJson(state.config.document).dump();
   });
-  return {200, list.dump()};
+  return {200, body};
 }
 
 traffic::OperatorAnswer OperatorService::ShowTicket(std::string_view number) {
@@ -112,18 +77,14 @@
   if (fault != std::errc() || end != number.data() + number.size()) {
     return Refusal(ResultCode::kInvalidField, "expected a ticket number");
   }
-  Json found;
+  std::optional<nlohmann::json> found;
   this->loop.Inspect([&](const control::ControlState& state) {
-    for (Json& ticket : AllTickets(state)) {
-      if (ticket["ticket"] == wanted) {
-        found = std::move(ticket);
-      }
-    }
+    found = config::TicketJson(state.config.document, TicketNumber{wanted});
   });
-  if (found.is_null()) {
+  if (!found) {
     return Refusal(ResultCode::kTicketUnknown, number);
   }
-  return {200, found.dump()};
+  return {200, found->dump()};
 }
 
 traffic::OperatorAnswer OperatorService::Status() {
