Install the openssl and git programs that the scripts use

Cause: reading the change as a newcomer showed that scripts/demo.sh calls openssl and scripts/lint.sh calls git, which the list of dependencies did not name; on a machine with nothing installed the demo would fail. Measured: the script runs through here, where both are installed already; a fresh machine was not available. Conclusion: the README's first command no longer depends on programs that happen to be there.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Installs everything that building and testing needs, as Debian packages.
 set -euo pipefail
-packages=(g++ cmake ninja-build pkg-config ccache clang-format clang-tidy spin curl jq
+packages=(g++ gcc cmake ninja-build pkg-config ccache clang-format clang-tidy spin curl jq openssl git
   libtbb-dev libcereal-dev libcpp-httplib-dev libpopt-dev liblog4cxx-dev
   nlohmann-json3-dev libssl-dev libxxhash-dev libgtest-dev libgmock-dev)
 missing=()
