Keep the names of member and server statuses in one place

Cause: control and daemon each had a copy of the names of member statuses, and a log line printed the status of a backend server as a number. Change: StatusName() in membership and in backend; the log line uses it. No behaviour but that log line changes.

--- a/packages/backend/include/backend/backend_func.h
+++ b/packages/backend/include/backend/backend_func.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -22,6 +23,9 @@
 using SuspectTable =
     std::unordered_map<Fingerprint, SuspectStatus, FingerprintHash>;
 
+/** Name of a status for operators. @note Thread-safe. */
+std::string_view StatusName(BackendStatus status);
+
 /** An empty table. @param seed Seed of the jitter. */
 BackendState MakeBackendState(const BackendOptions& options, uint64_t seed);
 
--- a/packages/backend/src/backend_cmd.cc
+++ b/packages/backend/src/backend_cmd.cc
@@ -189,6 +189,20 @@
   std::visit(Reducer{{state, now, effects}}, event);
 }
 
+std::string_view StatusName(BackendStatus status) {
+  switch (status) {
+    case BackendStatus::kReady:
+      return "ready";
+    case BackendStatus::kEjected:
+      return "ejected";
+    case BackendStatus::kDown:
+      return "down";
+    case BackendStatus::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
 std::vector<BackendServer> ListServers(const BackendState& state) {
   std::vector<BackendServer> servers;
   servers.reserve(state.servers.size());
--- a/packages/control/src/control_json_func.cc
+++ b/packages/control/src/control_json_func.cc
@@ -15,34 +15,6 @@
 
 using Json = nlohmann::ordered_json;
 
-std::string_view StatusName(membership::MemberStatus status) {
-  switch (status) {
-    case membership::MemberStatus::kAlive:
-      return "alive";
-    case membership::MemberStatus::kSuspect:
-      return "suspect";
-    case membership::MemberStatus::kFailed:
-      return "failed";
-    case membership::MemberStatus::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
-std::string_view StatusName(backend::BackendStatus status) {
-  switch (status) {
-    case backend::BackendStatus::kReady:
-      return "ready";
-    case backend::BackendStatus::kEjected:
-      return "ejected";
-    case backend::BackendStatus::kDown:
-      return "down";
-    case backend::BackendStatus::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 Json MemberJson(const membership::Member& member) {
   return {{"id", member.id.value},
           {"instance", member.instance},
--- a/packages/daemon/src/effect_executor_base.cc
+++ b/packages/daemon/src/effect_executor_base.cc
@@ -4,6 +4,7 @@
  */
 #include "daemon/effect_executor_base.h"
 
+#include "backend/backend_func.h"
 #include "base/result_func.h"
 #include "daemon/log_func.h"
 #include "daemon/probe_func.h"
@@ -33,20 +34,6 @@
   return MessageType::kPingRequest;
 }
 
-std::string_view StatusName(membership::MemberStatus status) {
-  switch (status) {
-    case membership::MemberStatus::kAlive:
-      return "alive";
-    case membership::MemberStatus::kSuspect:
-      return "suspect";
-    case membership::MemberStatus::kFailed:
-      return "failed";
-    case membership::MemberStatus::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 void EffectExecutor::Handle(const control::ControlState& state,
@@ -179,9 +166,8 @@
 void EffectExecutor::Run(const control::ControlState&,
                          const backend::StatusChanged& effect) {
   this->parts.counters.Get("backend_status_changes_total").Add();
-  LogStateChange("backend server " + effect.instance +
-                 " changed its status to " +
-                 std::to_string(static_cast<int>(effect.after)));
+  LogStateChange("backend server " + effect.instance + " is " +
+                 std::string(StatusName(effect.after)));
 }
 
 void EffectExecutor::Run(const control::ControlState& state,
--- a/packages/membership/include/membership/membership_func.h
+++ b/packages/membership/include/membership/membership_func.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/strong_id_type.h"
@@ -40,6 +41,9 @@
             TimePoint now,
             std::vector<MembershipEffect>& effects);
 
+/** Name of a status for operators. @note Thread-safe. */
+std::string_view StatusName(MemberStatus status);
+
 /** When the next Tick has work to do. */
 TimePoint NextDeadline(const MembershipState& state);
 
--- a/packages/membership/src/query_func.cc
+++ b/packages/membership/src/query_func.cc
@@ -35,6 +35,20 @@
 
 }  // namespace
 
+std::string_view StatusName(MemberStatus status) {
+  switch (status) {
+    case MemberStatus::kAlive:
+      return "alive";
+    case MemberStatus::kSuspect:
+      return "suspect";
+    case MemberStatus::kFailed:
+      return "failed";
+    case MemberStatus::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
 TimePoint NextDeadline(const MembershipState& state) {
   TimePoint next = std::min(state.next_probe, state.next_join);
   if (state.probe && !state.probe->asked_others) {
