--- a/cmake/BoragewharfPackage.cmake
+++ b/cmake/BoragewharfPackage.cmake
@@ -16,7 +16,7 @@
   target_link_libraries(bw_${name} PUBLIC ${ARG_LIBRARIES} Threads::Threads)
 
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_test.cc)
-  if(tests)
+  if(tests AND BORAGEWHARF_TESTS)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE bw_${name} GTest::gtest_main GTest::gmock)
     add_test(NAME ${name}_test COMMAND ${name}_test)
--- a/packages/control/include/control/control_type.h
+++ b/packages/control/include/control/control_type.h
@@ -16,7 +16,7 @@
 #include "ledger/ledger_state.h"
 #include "membership/membership_event_type.h"
 #include "membership/membership_state_type.h"
-#include "platform/instance_type.h"
+#include "store/instance_type.h"
 
 namespace boragewharf::control {
 
--- a/packages/daemon/include/daemon/effect_executor_base.h
+++ b/packages/daemon/include/daemon/effect_executor_base.h
@@ -15,7 +15,7 @@
 #include "daemon/task_pool_base.h"
 #include "peer/peer_client_base.h"
 #include "peer/udp_socket_base.h"
-#include "platform/object_store_base.h"
+#include "store/object_store_base.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/daemon/include/daemon/poller_base.h
+++ b/packages/daemon/include/daemon/poller_base.h
@@ -10,8 +10,8 @@
 #include <thread>
 
 #include "daemon/control_loop_base.h"
-#include "platform/cloud_api_base.h"
-#include "platform/instance_list_base.h"
+#include "store/cloud_api_base.h"
+#include "store/instance_list_base.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/daemon/src/daemon_base.cc
+++ b/packages/daemon/src/daemon_base.cc
@@ -18,9 +18,9 @@
 #include "daemon/poller_base.h"
 #include "daemon/snapshot_publisher_base.h"
 #include "daemon/traffic_provider_base.h"
-#include "platform/http_cloud_api_base.h"
-#include "platform/http_object_store_base.h"
-#include "platform/store_instance_list_base.h"
+#include "store/http_cloud_api_base.h"
+#include "store/http_object_store_base.h"
+#include "store/store_instance_list_base.h"
 #include "traffic/basic_policy_base.h"
 #include "traffic/front_end_base.h"
 
--- /dev/null
+++ b/packages/fleet/include/fleet/fleet_cmd.h
@@ -0,0 +1,35 @@
+/**
+ * @file fleet_cmd.h
+ * The reducer of a node's control state.
+ */
+#pragma once
+
+#include <vector>
+
+#include "fleet/fleet_type.h"
+
+namespace boragewharf::fleet {
+
+/**
+ * Applies one event.
+ * @param now Reading of the boot clock; does not decrease.
+ * @param effects Effects are appended.
+ * @note Not thread-safe; only the control thread calls it.
+ */
+void Reduce(FleetState& state,
+            const Event& event,
+            TimePoint now,
+            std::vector<Effect>& effects);
+
+/** Time between datagrams; grows with the fleet to bound their cost. */
+Duration MessagePeriod(const FleetState& state);
+
+/** Whether this node can serve requests. */
+bool IsReady(const FleetState& state);
+
+/** The nodes that a client in @p region should use, this one included. */
+std::vector<std::string> EntryAddresses(const FleetState& state,
+                                        std::string_view region,
+                                        TimePoint now);
+
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -0,0 +1,278 @@
+/**
+ * @file fleet_type.h
+ * Control state of a node: events, effects and the state itself.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time_type.h"
+#include "fleet/peer_table_base.h"
+#include "fleet/scaling_policy_base.h"
+#include "lease/lease_type.h"
+#include "serving/config_type.h"
+#include "serving/peer_type.h"
+#include "serving/server_type.h"
+
+namespace boragewharf::fleet {
+
+/** Settings of the control state; fixed for the life of the process. */
+struct FleetSettings {
+  std::string node_name;
+  std::string ip;
+  std::string zone;
+  std::string region;
+  uint64_t incarnation = 0;
+  std::vector<std::string> seed_ips;
+  Duration usage_window{};  ///< Length of a usage window; 0: no such duty.
+  Duration usage_late{};    ///< A window's report is due this long after it.
+  bool orders_servers = false;  ///< Ordering servers is a duty here.
+  lease::LeaseTiming lease_timing;
+};
+
+/** Requests that began to run in a usage window, by customer name. */
+using NamedCounts = std::map<std::string, uint32_t>;
+
+/** Names the lease of all duties. */
+inline constexpr char kDutyLease[] = "duties";
+
+// Events.
+
+/** A configuration was read; older ones are ignored. */
+struct ConfigRead {
+  uint64_t revision = 0;
+  std::shared_ptr<const serving::ServingConfig> config;
+  std::string text;  ///< As in the store, for other nodes.
+};
+
+/** The complete list of servers was read. */
+struct ServersRead {
+  uint64_t revision = 0;
+  std::vector<serving::BackendServer> servers;
+  bool from_peer = false;
+};
+
+/** One server changed, or is gone if @c server is empty. */
+struct ServerChanged {
+  uint64_t revision = 0;
+  std::string id;
+  std::optional<serving::BackendServer> server;
+};
+
+/** The store answers, or has stopped answering. */
+struct StoreReachable {
+  bool reachable = true;
+};
+
+/** A datagram arrived. */
+struct PeerHeard {
+  serving::PeerMessage message;
+};
+
+/** The traffic side reported. */
+struct TrafficReported {
+  serving::TrafficReport report;
+};
+
+/** A FetchState effect ended. */
+struct FetchEnded {};
+
+/** A result for the duty lease. */
+struct LeaseEvent {
+  lease::LeaseEvent event;
+};
+
+/** A FixUsage effect ended. */
+struct UsageFixed {
+  int64_t window = 0;
+  std::optional<NamedCounts> counts;  ///< As fixed; empty: failed.
+};
+
+/** A SendUsage effect ended. */
+struct UsageSent {
+  int64_t window = 0;
+  bool accepted = false;
+};
+
+/** An OrderServers effect ended. */
+struct ServersOrdered {
+  std::string service;
+  std::string zone;
+  bool reclaimable = false;
+  uint32_t count = 0;
+  bool accepted = false;
+  bool unavailable = false;  ///< None of this kind are to be had there.
+};
+
+/** The signal to stop arrived. */
+struct StopRequested {};
+
+/** Time has passed; expected every kTickPeriod. */
+struct Tick {
+  int64_t clock_wall_ms = 0;  ///< Reading of the time of day.
+};
+
+using Event = std::variant<ConfigRead,
+                           ServersRead,
+                           ServerChanged,
+                           StoreReachable,
+                           PeerHeard,
+                           TrafficReported,
+                           FetchEnded,
+                           LeaseEvent,
+                           UsageFixed,
+                           UsageSent,
+                           ServersOrdered,
+                           StopRequested,
+                           Tick>;
+
+// Effects.
+
+/** The traffic side takes over this configuration. */
+struct PublishConfig {
+  std::shared_ptr<const serving::ServingConfig> config;
+};
+
+/** The traffic side takes over these servers. */
+struct PublishServers {
+  std::shared_ptr<const serving::ServerSet> servers;
+};
+
+/** The traffic side takes over this summary. */
+struct PublishPeers {
+  serving::PeerSummary summary;
+};
+
+/** Send a datagram to each of these nodes. */
+struct SendToPeers {
+  std::vector<std::string> ips;
+  serving::PeerMessage message;
+};
+
+/** Ask a node for its configuration and servers; ends with FetchEnded. */
+struct FetchState {
+  std::string ip;
+};
+
+/** A call for the duty lease; ends with a LeaseEvent. */
+struct LeaseCall {
+  lease::LeaseEffect call;
+};
+
+/** Fix a window's counts in the store; ends with UsageFixed. */
+struct FixUsage {
+  int64_t window = 0;
+  NamedCounts counts;
+};
+
+/** Remove the fixed counts of an old window; no event. */
+struct DropUsage {
+  int64_t window = 0;
+};
+
+/** Report a window to the platform; ends with UsageSent. */
+struct SendUsage {
+  int64_t window = 0;
+  NamedCounts counts;
+  FencingNumber fencing;
+};
+
+/** Order servers from the platform; ends with ServersOrdered. */
+struct OrderServers {
+  std::string service;
+  std::string zone;
+  bool reclaimable = false;
+  uint32_t count = 0;
+  FencingNumber fencing;
+};
+
+/** A line for the log. */
+struct LogChange {
+  std::string event;
+  std::string detail;
+  uint64_t revision = 0;
+};
+
+using Effect = std::variant<PublishConfig,
+                            PublishServers,
+                            PublishPeers,
+                            SendToPeers,
+                            FetchState,
+                            LeaseCall,
+                            FixUsage,
+                            DropUsage,
+                            SendUsage,
+                            OrderServers,
+                            LogChange>;
+
+// State.
+
+/** Progress of the report of one window. */
+struct WindowProgress {
+  enum class Step : uint8_t { kOpen, kFixing, kFixed, kSending, kDone };
+  Step step = Step::kOpen;
+  NamedCounts counts;
+  TimePoint next_try;
+};
+
+/** Orders for one kind of server of a service in a zone. */
+struct OrderState {
+  std::optional<uint32_t> ordered;  ///< Last accepted number.
+  bool in_flight = false;
+  TimePoint next_try;
+  TimePoint ordered_at;
+  TimePoint unavailable_until;
+};
+
+/** Scaling of one service. */
+struct ScalingState {
+  std::map<std::pair<std::string, bool>, OrderState> orders;  ///< Zone, kind.
+  std::map<TimePoint, uint32_t> needed;  ///< Recent needs, by time.
+  uint32_t initial_servers = 0;
+  std::optional<TimePoint> first_demand;
+};
+
+/** Control state of a node; changed only by Reduce(). */
+struct FleetState {
+  explicit FleetState(FleetSettings fixed);
+
+  FleetSettings settings;
+  PeerTable peers;
+  UsageLedger usage;
+  lease::LeaseState lease;
+  std::shared_ptr<const serving::ServingConfig> config;
+  std::string config_text;
+  uint64_t config_revision = 0;
+  std::map<std::string, serving::BackendServer> servers;
+  uint64_t servers_revision = 0;
+  bool servers_known = false;
+  std::map<std::string, TimePoint> missing;  ///< Gone after an outage, since.
+  bool store_reachable = false;
+  std::optional<TimePoint> store_regained;
+  bool fetching = false;
+  TimePoint next_fetch;
+  std::optional<TimePoint> behind_since;  ///< Others have newer state.
+  bool leaving = false;
+  serving::TrafficReport report;
+  uint64_t sequence = 0;
+  TimePoint next_message;
+  std::optional<int64_t> wall_offset_ms;
+  std::optional<TimePoint> off_since;  ///< The own clock disagrees since.
+  std::map<serving::NameHash, std::string> customer_names;
+  std::map<int64_t, WindowProgress> windows;
+  std::map<std::string, ScalingState> scaling;
+  TimePoint next_scaling;
+  std::optional<TimePoint> lost_duty;
+  std::shared_ptr<const ScalingPolicy> scaling_policy;
+};
+
+/** Period of the Tick event. */
+inline constexpr std::chrono::milliseconds kTickPeriod(100);
+
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -0,0 +1,92 @@
+/**
+ * @file peer_table_base.h
+ * The other nodes, from their datagrams.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time_type.h"
+#include "serving/peer_type.h"
+
+namespace boragewharf::fleet {
+
+/** Counts of runs by node and start of its process. */
+class UsageLedger {
+ public:
+  /** Takes over a node's counts; counts of one process only rise. */
+  void Merge(std::string_view node,
+             uint64_t incarnation,
+             const std::map<int64_t, serving::UsageCounts>& counts);
+
+  /** Sum over all nodes for one window. */
+  serving::UsageCounts Total(int64_t window) const;
+
+  /** Forgets windows before @p oldest. */
+  void Forget(int64_t oldest);
+
+ private:
+  using ByWindow = std::map<int64_t, serving::UsageCounts>;
+  std::map<std::pair<std::string, uint64_t>, ByWindow> counts;
+};
+
+/** A node as last heard. */
+struct PeerEntry {
+  serving::NodeStatus status;
+  serving::TrafficReport report;
+  TimePoint heard;
+};
+
+/** All other nodes. Not thread-safe. */
+class PeerTable {
+ public:
+  /** @param self Address of this node; its own messages are ignored. */
+  explicit PeerTable(std::string self) : self_ip(std::move(self)) {}
+
+  /** Addresses at which other nodes may be, besides those heard of. */
+  void AddSeeds(const std::vector<std::string>& ips);
+
+  /**
+   * Takes over a datagram.
+   * @return Whether it is news; repeated and overtaken ones are not.
+   */
+  bool Hear(const serving::PeerMessage& message, TimePoint now);
+
+  /** Forgets nodes that have been silent for long. */
+  void Expire(TimePoint now);
+
+  /** Addresses to send to. */
+  std::vector<std::string> Targets() const;
+
+  /** Addresses heard recently, to tell others; at most @p bound. */
+  std::vector<std::string> RecentIps(size_t bound, TimePoint now) const;
+
+  /** What the traffic side needs; consumes the admitted quota units. */
+  serving::PeerSummary TakeSummary(Duration period, TimePoint now);
+
+  /** Nodes that have been heard within a few periods and are ready. */
+  std::vector<const PeerEntry*> Ready(Duration period, TimePoint now) const;
+
+  /** Median of the estimates of the time of day, @p own included. */
+  int64_t MedianWallMs(int64_t own, Duration period, TimePoint now) const;
+
+  const std::map<std::string, PeerEntry, std::less<>>& All() const {
+    return this->peers;
+  }
+
+ private:
+  std::string self_ip;
+  std::map<std::string, PeerEntry, std::less<>> peers;
+  std::map<std::string, TimePoint, std::less<>> seeds;  ///< Last confirmed.
+  std::map<serving::NameHash, uint64_t> admitted;
+};
+
+/** Whether a node heard at @p heard counts as silent. */
+bool IsSilent(TimePoint heard, Duration period, TimePoint now);
+
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/fleet/src/duty_cmd.h
@@ -0,0 +1,36 @@
+/**
+ * @file duty_cmd.h
+ * The duties of the node that holds the lease: usage reports and orders.
+ */
+#pragma once
+
+#include <vector>
+
+#include "fleet/fleet_type.h"
+
+namespace boragewharf::fleet {
+
+/** Applies a result for the lease. */
+void ReduceLease(FleetState& state,
+                 const lease::LeaseEvent& event,
+                 TimePoint now,
+                 std::vector<Effect>& effects);
+
+/** Applies the result of FixUsage. */
+void TakeUsageFixed(FleetState& state, const UsageFixed& fixed, TimePoint now);
+
+/** Applies the result of SendUsage. */
+void TakeUsageSent(FleetState& state, const UsageSent& sent, TimePoint now);
+
+/** Applies the result of OrderServers. */
+void TakeOrderAnswer(FleetState& state,
+                     const ServersOrdered& answer,
+                     TimePoint now,
+                     std::vector<Effect>& effects);
+
+/** Candidacy, renewals, due reports and orders. */
+void AdvanceDuties(FleetState& state,
+                   TimePoint now,
+                   std::vector<Effect>& effects);
+
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/fleet/src/peer_table_base.cc
@@ -0,0 +1,196 @@
+/**
+ * @file peer_table_base.cc
+ * Other nodes and their counts.
+ */
+#include "fleet/peer_table_base.h"
+
+#include <algorithm>
+
+namespace boragewharf::fleet {
+namespace {
+
+/** Periods without a datagram after which a node counts as silent; single
+ * losses are frequent. */
+constexpr int kSilentPeriods = 4;
+
+/** A silent node is forgotten after this; a cut lasts seconds. */
+constexpr std::chrono::seconds kForgetAfter(15);
+
+}  // namespace
+
+bool IsSilent(TimePoint heard, Duration period, TimePoint now) {
+  return now - heard > kSilentPeriods * period;
+}
+
+void UsageLedger::Merge(std::string_view node,
+                        uint64_t incarnation,
+                        const std::map<int64_t, serving::UsageCounts>& news) {
+  if (news.empty()) {
+    return;
+  }
+  ByWindow& known = this->counts[{std::string(node), incarnation}];
+  for (const auto& [window, by_customer] : news) {
+    for (const auto& [customer, count] : by_customer) {
+      uint32_t& value = known[window][customer];
+      value = std::max(value, count);
+    }
+  }
+}
+
+serving::UsageCounts UsageLedger::Total(int64_t window) const {
+  serving::UsageCounts total;
+  for (const auto& [process, by_window] : this->counts) {
+    const auto found = by_window.find(window);
+    if (found == by_window.end()) {
+      continue;
+    }
+    for (const auto& [customer, count] : found->second) {
+      total[customer] += count;
+    }
+  }
+  return total;
+}
+
+void UsageLedger::Forget(int64_t oldest) {
+  for (auto& [process, by_window] : this->counts) {
+    std::erase_if(by_window,
+                  [&](const auto& window) { return window.first < oldest; });
+  }
+  std::erase_if(this->counts,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+void PeerTable::AddSeeds(const std::vector<std::string>& ips) {
+  for (const std::string& ip : ips) {
+    if (ip != this->self_ip) {
+      this->seeds.try_emplace(ip);
+    }
+  }
+}
+
+bool PeerTable::Hear(const serving::PeerMessage& message, TimePoint now) {
+  const serving::NodeStatus& status = message.status;
+  if (message.format != serving::kPeerFormat || status.ip == this->self_ip) {
+    return false;
+  }
+  this->AddSeeds(message.known_ips);
+  const auto known = this->peers.find(status.ip);
+  const bool same_process =
+      known != this->peers.end() &&
+      known->second.status.incarnation == status.incarnation;
+  if (known != this->peers.end()) {
+    const serving::NodeStatus& old = known->second.status;
+    if (status.incarnation < old.incarnation ||
+        (same_process && status.sequence <= old.sequence)) {
+      return false;
+    }
+  }
+  for (const auto& [customer, total] : message.report.admitted) {
+    uint64_t before = 0;
+    if (same_process) {
+      const auto found = known->second.report.admitted.find(customer);
+      before = found == known->second.report.admitted.end() ? 0 : found->second;
+    }
+    // Refunds can lower the total.
+    if (total > before) {
+      this->admitted[customer] += total - before;
+    }
+  }
+  this->peers[status.ip] = PeerEntry{status, message.report, now};
+  return true;
+}
+
+void PeerTable::Expire(TimePoint now) {
+  std::erase_if(this->peers, [&](const auto& entry) {
+    return now - entry.second.heard > kForgetAfter;
+  });
+}
+
+std::vector<std::string> PeerTable::Targets() const {
+  std::vector<std::string> targets;
+  for (const auto& [ip, entry] : this->peers) {
+    targets.push_back(ip);
+  }
+  for (const auto& [ip, since] : this->seeds) {
+    if (!this->peers.contains(ip)) {
+      targets.push_back(ip);
+    }
+  }
+  return targets;
+}
+
+std::vector<std::string> PeerTable::RecentIps(size_t bound,
+                                              TimePoint now) const {
+  std::vector<std::string> recent;
+  for (const auto& [ip, entry] : this->peers) {
+    if (now - entry.heard < kForgetAfter / 2) {
+      recent.push_back(ip);
+    }
+  }
+  if (recent.size() > bound) {
+    // Rotates through the table, so that each node is named in turn.
+    const size_t start =
+        static_cast<size_t>(now.time_since_epoch().count()) % recent.size();
+    std::rotate(recent.begin(),
+                recent.begin() + static_cast<std::ptrdiff_t>(start),
+                recent.end());
+    recent.resize(bound);
+  }
+  return recent;
+}
+
+serving::PeerSummary PeerTable::TakeSummary(Duration period, TimePoint now) {
+  serving::PeerSummary summary;
+  uint32_t silent = 0;
+  for (const auto& [ip, entry] : this->peers) {
+    summary.nodes += 1;
+    for (const auto& [fingerprint, count] : entry.report.crashes) {
+      summary.crashes[fingerprint] += count;
+    }
+    if (IsSilent(entry.heard, period, now)) {
+      silent += entry.status.leaving ? 0 : 1;
+      continue;  // Its requests have probably ended.
+    }
+    for (const auto& [server, load] : entry.report.loads) {
+      serving::ServerLoad& total = summary.loads[server];
+      total.running += load.running;
+      total.prefill_tokens += load.prefill_tokens;
+    }
+  }
+  summary.silent_share = static_cast<double>(silent) / summary.nodes;
+  summary.admitted = std::move(this->admitted);
+  this->admitted.clear();
+  return summary;
+}
+
+std::vector<const PeerEntry*> PeerTable::Ready(Duration period,
+                                               TimePoint now) const {
+  std::vector<const PeerEntry*> ready;
+  for (const auto& [ip, entry] : this->peers) {
+    if (entry.status.ready && !entry.status.leaving &&
+        !IsSilent(entry.heard, period, now)) {
+      ready.push_back(&entry);
+    }
+  }
+  return ready;
+}
+
+int64_t PeerTable::MedianWallMs(int64_t own,
+                                Duration period,
+                                TimePoint now) const {
+  std::vector<int64_t> estimates = {own};
+  for (const auto& [ip, entry] : this->peers) {
+    if (IsSilent(entry.heard, period, now)) {
+      continue;
+    }
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - entry.heard);
+    estimates.push_back(entry.status.wall_ms + since.count());
+  }
+  const auto middle =
+      estimates.begin() + static_cast<std::ptrdiff_t>(estimates.size() / 2);
+  std::nth_element(estimates.begin(), middle, estimates.end());
+  return *middle;
+}
+
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/httpio/include/httpio/http_channel_base.h
@@ -0,0 +1,66 @@
+/**
+ * @file http_channel_base.h
+ * A client connection for calls to the platform and to other nodes.
+ */
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/endpoint_type.h"
+#include "httpio/message_parser_base.h"
+
+namespace boragewharf::httpio {
+
+/** A call. */
+struct HttpCall {
+  std::string method;
+  std::string target;
+  Fields fields;
+  std::string body;
+  std::chrono::milliseconds timeout{2000};  ///< For the whole call.
+};
+
+/** Its result. */
+struct HttpResult {
+  bool sent = false;  ///< Bytes of the call may have reached the server.
+  std::optional<ResponseHead> head;  ///< Absent without a complete response.
+  std::string body;
+};
+
+/**
+ * Sends one call at a time over a connection that it keeps open. A call whose
+ * time is over closes the connection. All methods run on the event loop.
+ */
+class HttpChannel {
+ public:
+  using Callback = std::function<void(HttpResult)>;
+
+  HttpChannel(boost::asio::io_context& loop, Endpoint server);
+  ~HttpChannel();
+  HttpChannel(const HttpChannel&) = delete;
+  HttpChannel& operator=(const HttpChannel&) = delete;
+
+  /**
+   * Queues a call.
+   * @param callback Called exactly once, unless the channel is destroyed.
+   */
+  void Call(HttpCall call, Callback callback);
+
+  /** Calls queued or under way. */
+  size_t Pending() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace boragewharf::httpio
--- /dev/null
+++ b/packages/httpio/include/httpio/message_parser_base.h
@@ -0,0 +1,164 @@
+/**
+ * @file message_parser_base.h
+ * Incremental parsers of HTTP/1.1 messages that keep the framing visible.
+ */
+#pragma once
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace boragewharf::httpio {
+
+/** Header fields in the order received. */
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+/** Value of the first field with a name, compared without case; or empty. */
+std::string_view FindField(const Fields& fields, std::string_view name);
+
+/** Whether two header names or tokens are equal without case. */
+bool EqualNoCase(std::string_view a, std::string_view b);
+
+/** Whether a comma-separated list contains a token, compared without case. */
+bool ListContains(std::string_view list, std::string_view token);
+
+/**
+ * Whether a field concerns only one connection and is never forwarded. Fields
+ * that the Connection header lists must be dropped besides.
+ */
+bool IsConnectionField(std::string_view name);
+
+/** A request as received. */
+struct InboundRequest {
+  std::string method;
+  std::string target;
+  Fields fields;
+  std::string body;
+  bool keep_alive = true;
+};
+
+/** Why a message was not accepted. */
+enum class ParseFault : uint8_t {
+  kNone,
+  kMalformed,       ///< Not a message in the protocol, or ambiguous framing.
+  kHeaderTooLarge,  ///< Header over its limit.
+  kBodyTooLarge,    ///< Body over its limit.
+};
+
+/** Parser of one request. Not thread-safe. */
+class RequestParser : public boost::beast::http::basic_parser<true> {
+ public:
+  RequestParser(uint32_t header_limit, uint64_t body_limit);
+
+  /**
+   * Parses as much as possible.
+   * @param bytes Everything received and not yet consumed.
+   * @return Bytes consumed.
+   */
+  size_t Feed(std::string_view bytes);
+
+  ParseFault Fault() const { return this->fault; }
+
+  /** Whether the client waits for an interim answer before the body. */
+  bool ExpectsContinue() const { return this->expects_continue; }
+
+  /** The request; complete once is_done(). */
+  InboundRequest request;
+
+ private:
+  using ErrorCode = boost::beast::error_code;
+  using View = boost::beast::string_view;
+  void on_request_impl(boost::beast::http::verb method,
+                       View method_text,
+                       View target,
+                       int version,
+                       ErrorCode& error) override;
+  void on_response_impl(int, View, int, ErrorCode&) override {}
+  void on_field_impl(boost::beast::http::field field,
+                     View name,
+                     View value,
+                     ErrorCode& error) override;
+  void on_header_impl(ErrorCode& error) override;
+  void on_body_init_impl(const boost::optional<uint64_t>& length,
+                         ErrorCode& error) override;
+  size_t on_body_impl(View body, ErrorCode& error) override;
+  void on_chunk_header_impl(uint64_t, View, ErrorCode&) override {}
+  size_t on_chunk_body_impl(uint64_t remain,
+                            View body,
+                            ErrorCode& error) override;
+  void on_finish_impl(ErrorCode&) override {}
+
+  ParseFault fault = ParseFault::kNone;
+  bool header_done = false;
+  bool expects_continue = false;
+};
+
+/** Status line and header of a response. */
+struct ResponseHead {
+  uint32_t status = 0;
+  std::string reason;
+  Fields fields;
+};
+
+/** Parser of one response; the body is handed on as it arrives. */
+class ResponseParser : public boost::beast::http::basic_parser<false> {
+ public:
+  /** Called with each piece of the body. */
+  using BodySink = std::function<void(std::string_view)>;
+
+  /** @param head_request Whether it answers a HEAD request. */
+  explicit ResponseParser(BodySink body_sink, bool head_request = false);
+
+  /** As RequestParser::Feed(). */
+  size_t Feed(std::string_view bytes);
+
+  /**
+   * The connection ended.
+   * @return Whether that completes the response.
+   */
+  bool FinishAtEnd();
+
+  bool Failed() const { return this->failed; }
+
+  /** Whether the end of the connection ends the body. */
+  bool EndsWithConnection() const { return this->need_eof(); }
+
+  /** The head; complete once is_header_done(). */
+  ResponseHead head;
+
+ private:
+  using ErrorCode = boost::beast::error_code;
+  using View = boost::beast::string_view;
+  void on_request_impl(boost::beast::http::verb,
+                       View,
+                       View,
+                       int,
+                       ErrorCode&) override {}
+  void on_response_impl(int code,
+                        View reason,
+                        int version,
+                        ErrorCode& error) override;
+  void on_field_impl(boost::beast::http::field field,
+                     View name,
+                     View value,
+                     ErrorCode& error) override;
+  void on_header_impl(ErrorCode& error) override;
+  void on_body_init_impl(const boost::optional<uint64_t>&,
+                         ErrorCode&) override {}
+  size_t on_body_impl(View body, ErrorCode& error) override;
+  void on_chunk_header_impl(uint64_t, View, ErrorCode&) override {}
+  size_t on_chunk_body_impl(uint64_t remain,
+                            View body,
+                            ErrorCode& error) override;
+  void on_finish_impl(ErrorCode&) override {}
+
+  BodySink sink;
+  bool header_done = false;
+  bool failed = false;
+};
+
+}  // namespace boragewharf::httpio
--- /dev/null
+++ b/packages/httpio/src/message_parser_base.cc
@@ -0,0 +1,215 @@
+/**
+ * @file message_parser_base.cc
+ * HTTP/1.1 parsing on Boost.Beast.
+ */
+#include "httpio/message_parser_base.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/error.hpp>
+#include <cctype>
+#include <limits>
+
+namespace boragewharf::httpio {
+namespace {
+
+namespace http = boost::beast::http;
+
+/** Largest header accepted from servers and the platform, in bytes. */
+constexpr uint32_t kResponseHeaderLimit = 65536;
+
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+    "connection", "keep-alive",        "proxy-connection",
+    "te",         "transfer-encoding", "trailer",
+    "upgrade",    "content-length",    "proxy-authenticate",
+};
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+std::string_view ToStd(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+bool EqualNoCase(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+    return std::tolower(static_cast<unsigned char>(x)) ==
+           std::tolower(static_cast<unsigned char>(y));
+  });
+}
+
+std::string_view FindField(const Fields& fields, std::string_view name) {
+  for (const auto& [field, value] : fields) {
+    if (EqualNoCase(field, name)) {
+      return value;
+    }
+  }
+  return {};
+}
+
+bool ListContains(std::string_view list, std::string_view token) {
+  size_t start = 0;
+  while (start <= list.size()) {
+    const size_t end = std::min(list.find(',', start), list.size());
+    if (EqualNoCase(Trim(list.substr(start, end - start)), token)) {
+      return true;
+    }
+    start = end + 1;
+  }
+  return false;
+}
+
+bool IsConnectionField(std::string_view name) {
+  return std::any_of(
+      kConnectionFields.begin(), kConnectionFields.end(),
+      [&](std::string_view field) { return EqualNoCase(field, name); });
+}
+
+RequestParser::RequestParser(uint32_t header_limit, uint64_t max_body) {
+  this->header_limit(header_limit);
+  this->body_limit(max_body);
+  this->eager(true);
+}
+
+size_t RequestParser::Feed(std::string_view bytes) {
+  ErrorCode error;
+  const size_t used =
+      this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (!error || error == http::error::need_more) {
+    return used;
+  }
+  if (error == http::error::header_limit) {
+    this->fault = ParseFault::kHeaderTooLarge;
+  } else if (error == http::error::body_limit) {
+    this->fault = ParseFault::kBodyTooLarge;
+  } else {
+    this->fault = ParseFault::kMalformed;
+  }
+  return used;
+}
+
+void RequestParser::on_request_impl(http::verb,
+                                    View method_text,
+                                    View target,
+                                    int,
+                                    ErrorCode&) {
+  this->request.method = ToStd(method_text);
+  this->request.target = ToStd(target);
+}
+
+void RequestParser::on_field_impl(http::field field,
+                                  View name,
+                                  View value,
+                                  ErrorCode& error) {
+  if (this->header_done) {
+    return;  // Trailers are dropped.
+  }
+  // Any transfer coding but a single "chunked" leaves the framing ambiguous.
+  if (field == http::field::transfer_encoding &&
+      !EqualNoCase(ToStd(value), "chunked")) {
+    error = http::error::bad_transfer_encoding;
+    return;
+  }
+  const bool unique = field == http::field::content_length ||
+                      field == http::field::transfer_encoding ||
+                      field == http::field::host;
+  if (unique && !FindField(this->request.fields, ToStd(name)).empty()) {
+    error = http::error::bad_field;
+    return;
+  }
+  this->request.fields.emplace_back(ToStd(name), ToStd(value));
+}
+
+void RequestParser::on_header_impl(ErrorCode&) {
+  this->header_done = true;
+  this->request.keep_alive = this->keep_alive();
+  this->expects_continue =
+      EqualNoCase(FindField(this->request.fields, "Expect"), "100-continue");
+}
+
+void RequestParser::on_body_init_impl(const boost::optional<uint64_t>& length,
+                                      ErrorCode&) {
+  constexpr uint64_t kReserveLimit = 65536;
+  if (length) {
+    this->request.body.reserve(std::min(*length, kReserveLimit));
+  }
+}
+
+size_t RequestParser::on_body_impl(View body, ErrorCode&) {
+  this->request.body.append(body.data(), body.size());
+  return body.size();
+}
+
+size_t RequestParser::on_chunk_body_impl(uint64_t, View body, ErrorCode&) {
+  this->request.body.append(body.data(), body.size());
+  return body.size();
+}
+
+ResponseParser::ResponseParser(BodySink body_sink, bool head_request)
+    : sink(std::move(body_sink)) {
+  this->header_limit(kResponseHeaderLimit);
+  this->body_limit(boost::none);
+  this->eager(true);
+  this->skip(head_request);
+}
+
+size_t ResponseParser::Feed(std::string_view bytes) {
+  ErrorCode error;
+  const size_t used =
+      this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (error && error != http::error::need_more) {
+    this->failed = true;
+  }
+  return used;
+}
+
+bool ResponseParser::FinishAtEnd() {
+  if (this->is_done()) {
+    return true;
+  }
+  if (!this->is_header_done() || !this->need_eof()) {
+    return false;
+  }
+  ErrorCode error;
+  this->put_eof(error);
+  return !error;
+}
+
+void ResponseParser::on_response_impl(int code, View reason, int, ErrorCode&) {
+  this->head.status = static_cast<uint32_t>(code);
+  this->head.reason = ToStd(reason);
+}
+
+void ResponseParser::on_field_impl(http::field,
+                                   View name,
+                                   View value,
+                                   ErrorCode&) {
+  if (!this->header_done) {
+    this->head.fields.emplace_back(ToStd(name), ToStd(value));
+  }
+}
+
+void ResponseParser::on_header_impl(ErrorCode&) {
+  this->header_done = true;
+}
+
+size_t ResponseParser::on_body_impl(View body, ErrorCode&) {
+  this->sink(ToStd(body));
+  return body.size();
+}
+
+size_t ResponseParser::on_chunk_body_impl(uint64_t, View body, ErrorCode&) {
+  this->sink(ToStd(body));
+  return body.size();
+}
+
+}  // namespace boragewharf::httpio
--- a/packages/lease/include/lease/lease_type.h
+++ b/packages/lease/include/lease/lease_type.h
@@ -13,10 +13,10 @@
 #include <variant>
 #include <vector>
 
+#include "base/object_type.h"
 #include "base/result_type.h"
 #include "base/strong_id_type.h"
 #include "base/time_type.h"
-#include "platform/object_type.h"
 
 namespace boragewharf::lease {
 
@@ -54,6 +54,18 @@
 /** Longest delay between calls. */
 inline constexpr Duration kBackoffLongest = std::chrono::seconds(4);
 
+/**
+ * Times of the protocol; equal on all members of a deployment. The defaults
+ * suit stores that are reached in seconds.
+ */
+struct LeaseTiming {
+  Duration lease_time = kLeaseTime;        ///< See kLeaseTime.
+  Duration holder_margin = kHolderMargin;  ///< See kHolderMargin.
+  Duration order_bound = kOrderBound;      ///< See kOrderBound.
+  Duration renew_period = kRenewPeriod;    ///< See kRenewPeriod.
+  Duration watch_period = kWatchPeriod;    ///< See kWatchPeriod.
+};
+
 /** The object leases/DUTY. */
 struct LeaseRecord {
   MemberId holder;        ///< Who wrote it.
@@ -182,6 +194,7 @@
 /** All duties of this member. */
 struct LeaseState {
   MemberId self;              ///< Random per process start.
+  LeaseTiming timing;         ///< Set before the first event.
   std::mt19937_64 generator;  ///< For jitter; seeded by the owner.
   uint64_t last_write = 0;    ///< Source of LeaseRecord::write.
   std::map<std::string, Duty, std::less<>> duties;  ///< By name.
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -2,9 +2,9 @@
  * @file lease_cmd.cc
  * Acquisition, renewal, release and loss of duty leases.
  *
- * Why at most one member may act: a write entitles its holder until kLeaseTime
+ * Why at most one member may act: a write entitles its holder until lease_time
  * after a moment before it was sent; a successor writes no earlier than
- * kLeaseTime after it saw that write's version, hence later by the time of
+ * lease_time after it saw that write's version, hence later by the time of
  * any clock that runs at the same rate, and its conditional write succeeds
  * only if the holder has written nothing since. Wall clocks and differences
  * between the members' clocks play no part.
@@ -136,7 +136,8 @@
       return true;
     }
     return this->duty.wanted &&
-           (seen.record.released || this->now >= seen.first_seen + kLeaseTime);
+           (seen.record.released ||
+            this->now >= seen.first_seen + this->state.timing.lease_time);
   }
 
   void Write() {
@@ -194,14 +195,16 @@
     if (write.record.released || !this->duty.wanted) {
       return;
     }
-    const TimePoint expires = write.sent_at + kLeaseTime - kHolderMargin;
+    const TimePoint expires = write.sent_at + this->state.timing.lease_time -
+                              this->state.timing.holder_margin;
     const bool continued = this->duty.holding &&
                            this->duty.holding->fencing == write.record.fencing;
     if (continued) {
       this->duty.holding->expires = expires;
     } else {
       this->duty.holding =
-          Holding{write.record.fencing, expires, write.sent_at + kOrderBound};
+          Holding{write.record.fencing, expires,
+                  write.sent_at + this->state.timing.order_bound};
     }
     if (this->now < expires && !this->duty.announced) {
       this->duty.announced = true;
@@ -251,15 +254,18 @@
     const bool holds =
         this->duty.holding && this->now < this->duty.holding->expires;
     if (holds && this->SeenAsHolder()) {
-      this->duty.next_call = this->now + this->Jitter(kRenewPeriod);
+      this->duty.next_call =
+          this->now + this->Jitter(this->state.timing.renew_period);
       return;
     }
     if (this->SeenAsHolder() || this->duty.seen->record.released) {
       this->duty.next_call = this->now;
       return;
     }
-    const TimePoint due = this->duty.seen->first_seen + kLeaseTime;
-    const TimePoint poll = this->now + this->Jitter(kWatchPeriod);
+    const TimePoint due =
+        this->duty.seen->first_seen + this->state.timing.lease_time;
+    const TimePoint poll =
+        this->now + this->Jitter(this->state.timing.watch_period);
     this->duty.next_call = due > this->now ? std::min(due, poll) : this->now;
   }
 
--- /dev/null
+++ b/packages/node/include/node/peer_codec.h
@@ -0,0 +1,38 @@
+/**
+ * @file peer_codec.h
+ * Messages between nodes, in cereal's portable binary form.
+ */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "serving/peer_type.h"
+#include "serving/server_type.h"
+
+namespace boragewharf::node {
+
+/** Configuration and servers as one node tells another. */
+struct PeerState {
+  uint64_t config_revision = 0;
+  std::string config_text;  ///< As in the store.
+  uint64_t servers_revision = 0;
+  bool servers_known = false;
+  std::vector<serving::BackendServer> servers;
+};
+
+/** Encodes a datagram. @note Thread-safe. */
+std::string EncodePeerMessage(const serving::PeerMessage& message);
+
+/** Inverse; empty if the bytes are no message. @note Thread-safe. */
+std::optional<serving::PeerMessage> DecodePeerMessage(std::string_view bytes);
+
+/** Encodes the answer to a fetch of state. @note Thread-safe. */
+std::string EncodePeerState(const PeerState& state);
+
+/** Inverse; empty if the bytes are no state. @note Thread-safe. */
+std::optional<PeerState> DecodePeerState(std::string_view bytes);
+
+}  // namespace boragewharf::node
--- /dev/null
+++ b/packages/relay/src/exchange_base.cc
@@ -0,0 +1,707 @@
+/**
+ * @file exchange_base.cc
+ * Checking, sending, repeating and answering a request.
+ */
+#include "exchange_base.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace boragewharf::relay {
+namespace {
+
+using serving::AttemptFailure;
+using serving::Milliseconds;
+using serving::RetryDecision;
+using serving::RouteKind;
+
+/** Time to establish a connection; the clients allow one second as well. */
+constexpr Milliseconds kConnectTimeout(800);
+
+/** Buffered bytes to a slow client beyond which the server is not read. */
+constexpr size_t kMaxClientBacklog = 256 * 1024;
+
+/** Largest answer that is buffered before it is forwarded. */
+constexpr size_t kMaxBufferedAnswer = 16 * 1024 * 1024;
+
+/** Retry-After while no server of the service is listed. */
+constexpr Milliseconds kRetryNoServer(1000);
+
+/** Retry-After while all servers are full; runs end every few dozen ms. */
+constexpr Milliseconds kRetryFull(400);
+
+/** Retry-After before the first configuration is known. */
+constexpr Milliseconds kRetryNotReady(500);
+
+/** Clients give up a stream after this, four goals or eight gap goals. */
+constexpr Milliseconds kClientPatience(2000);
+
+/** Idle time up to which a connection carries a request that must not be
+ * repeated; older ones may have been dropped without notice. */
+constexpr Milliseconds kFreshIdle(1500);
+
+/** Idle time for repeatable requests; bounded by the server's own time-out. */
+constexpr std::chrono::seconds kAnyIdle(60);
+
+/** A repeat needs at least this much time to be worth sending. */
+constexpr Milliseconds kLeastTimeLeft(150);
+
+/** Attempts in a row that reach no server at all. */
+constexpr size_t kMaxUnreached = 3;
+
+/** Levels of urgency of the engines lie this far apart in our priorities. */
+constexpr uint32_t kUrgencyStep = 2;
+constexpr uint32_t kMaxUrgency = 9;
+
+std::string HostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return name;
+}
+
+std::string_view FailureName(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotSent:
+      return "not_sent";
+    case AttemptFailure::kRejected:
+      return "rejected";
+    case AttemptFailure::kBroken:
+      return "broken";
+    case AttemptFailure::kMalformed:
+      return "malformed";
+    case AttemptFailure::kSilent:
+      return "silent";
+    case AttemptFailure::kErrored:
+      return "errored";
+  }
+  return "unknown";
+}
+
+int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+}  // namespace
+
+Exchange::Exchange(TrafficCore& traffic,
+                   std::shared_ptr<httpio::ServerConnection> connection,
+                   serving::ClientRequest client_request,
+                   std::string request_body)
+    : core(traffic),
+      client(std::move(connection)),
+      request(std::move(client_request)),
+      body(std::make_shared<const std::string>(std::move(request_body))),
+      config(traffic.config),
+      arrived(BootClock::now()) {}
+
+Exchange::~Exchange() {
+  this->ReleaseAttempt();
+}
+
+bool Exchange::IsStream() const {
+  return this->route->kind == RouteKind::kStream;
+}
+
+void Exchange::Start() {
+  if (!this->CheckRequest() || !this->Admit()) {
+    return;
+  }
+  if (!this->TryServer(false)) {
+    this->core.demand[this->service_name].refused += 1;
+    const bool listed =
+        !this->core.pool.Candidates(this->service_name, {}).empty();
+    this->Refuse(503, listed ? kRetryFull : kRetryNoServer,
+                 listed ? "servers_full" : "no_server");
+  }
+}
+
+bool Exchange::CheckRequest() {
+  if (!this->core.Ready()) {
+    this->Refuse(503, kRetryNotReady, "not_configured");
+    return false;
+  }
+  if (this->request.facts.attempt_id.empty()) {
+    this->Refuse(400, std::nullopt, "no_attempt_id");
+    return false;
+  }
+  this->route = serving::FindRoute(*this->config, HostName(this->request.host),
+                                   this->request.Path());
+  if (this->route == nullptr || this->route->targets.empty()) {
+    this->Refuse(404, std::nullopt, "no_route");
+    return false;
+  }
+  if (!this->config->customers.empty() && !this->route->anonymous) {
+    this->customer =
+        serving::FindCustomer(*this->config, this->request.facts.key);
+    if (this->customer == nullptr) {
+      this->Refuse(401, std::nullopt, "unknown_key");
+      return false;
+    }
+  }
+  std::uniform_real_distribution<double> uniform(0.0, 1.0);
+  this->service_name =
+      serving::PickTarget(*this->route, uniform(this->core.generator));
+  this->service = serving::FindService(*this->config, this->service_name);
+  this->route_deadline = this->arrived + this->route->timeout;
+  this->client_deadline = this->arrived + this->request.facts.deadline.value_or(
+                                              this->route->timeout);
+  return true;
+}
+
+bool Exchange::Admit() {
+  this->fingerprint = serving::RequestFingerprint(
+      this->customer == nullptr ? "" : this->customer->name,
+      this->request.target, *this->body);
+  if (this->core.suspects.Refused(this->fingerprint)) {
+    this->Refuse(503, std::nullopt, "crashes_servers");
+    return false;
+  }
+  if (this->customer != nullptr) {
+    const double cost =
+        serving::QuotaCost(*this->customer, this->request.facts);
+    if (!this->core.quotas.Admit(*this->customer, cost, this->arrived)) {
+      this->Refuse(429, this->core.quotas.TimeUntil(*this->customer, cost),
+                   "over_quota");
+      return false;
+    }
+    this->quota_cost = cost;
+  }
+  this->core.budget.CountRequest(this->service_name, this->arrived);
+  this->core.demand[this->service_name].tokens_since +=
+      this->request.facts.prompt_tokens;
+  return true;
+}
+
+std::shared_ptr<PooledServer> Exchange::ChooseServer() {
+  const TimePoint now = BootClock::now();
+  const auto candidates =
+      this->core.pool.Candidates(this->service_name, this->tried);
+  serving::RouteRequest wanted;
+  wanted.prompt_tokens = this->request.facts.prompt_tokens;
+  wanted.shared_tokens = serving::SharedTokens(this->request.facts);
+  wanted.body_bytes = this->body->size();
+  const auto& parts = this->request.facts.parts;
+  if (parts.size() >= 2) {
+    wanted.shared_part = parts[parts.size() - 2].id;
+  }
+  std::vector<serving::ServerView> views;
+  views.reserve(candidates.size());
+  for (const auto& candidate : candidates) {
+    views.push_back(this->core.pool.View(*candidate, wanted.shared_part, now));
+  }
+  const bool engine = this->service != nullptr && this->service->engine;
+  serving::RoutingPolicy& policy =
+      engine ? *this->core.engine_policy : *this->core.plain_policy;
+  const auto choice = policy.Choose(wanted, views);
+  if (!choice) {
+    return nullptr;
+  }
+  return candidates[choice->index];
+}
+
+bool Exchange::TryServer(bool counts_as_repeat) {
+  const std::shared_ptr<PooledServer> server = this->ChooseServer();
+  if (!server) {
+    return false;
+  }
+  if (counts_as_repeat &&
+      !this->core.budget.TakeRepeat(this->service_name, this->core.nodes,
+                                    BootClock::now())) {
+    return false;
+  }
+  this->SendTo(server, std::nullopt);
+  return true;
+}
+
+void Exchange::SendTo(const std::shared_ptr<PooledServer>& server,
+                      std::optional<serving::MoveSource> from) {
+  const TimePoint now = BootClock::now();
+  serving::AttemptFields fields;
+  fields.server_id = server->server.id;
+  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  fields.deadline = std::max(
+      Milliseconds(1), std::chrono::duration_cast<Milliseconds>(end - now));
+  uint32_t priority = this->route->priority;
+  if (this->customer != nullptr) {
+    fields.customer = this->customer->name;
+    priority = this->customer->priority.value_or(priority);
+  }
+  if (this->service != nullptr && this->service->engine) {
+    fields.urgency = std::min(kMaxUrgency, kUrgencyStep * (priority + 1));
+  }
+  fields.last_event_id = this->last_event_id
+                             ? this->last_event_id
+                             : this->request.facts.last_event_id;
+  fields.move = std::move(from);
+  const bool fresh_only = !this->route->Repeatable();
+  const Duration max_idle = fresh_only ? Duration(kFreshIdle) : kAnyIdle;
+
+  Attempt next;
+  next.server = server;
+  next.started = now;
+  next.last_byte = now;
+  const uint32_t shared = serving::SharedTokens(this->request.facts);
+  const auto& parts = this->request.facts.parts;
+  next.prefill_tokens = this->request.facts.prompt_tokens;
+  if (parts.size() >= 2) {
+    const uint64_t part = parts[parts.size() - 2].id;
+    if (server->prefixes.contains(part)) {
+      next.prefill_tokens -= std::min(next.prefill_tokens, shared);
+    }
+    server->prefixes[part] = now;
+  }
+  if (fields.move) {
+    next.prefill_tokens = 0;
+  }
+  server->own.running += 1;
+  server->own.prefill_tokens += next.prefill_tokens;
+  this->core.demand[this->service_name].running += 1;
+  next.connection = this->core.pool.Acquire(*server, max_idle, now);
+  this->splitter.Reset();
+  this->buffered.clear();
+  this->attempt = std::move(next);
+  const auto connection = this->attempt->connection;
+  connection->Send(this->core.wire.EncodeRequest(this->request, fields),
+                   this->body, this->request.method == "HEAD", *this);
+}
+
+void Exchange::EndPrefill() {
+  PooledServer& server = *this->attempt->server;
+  server.own.prefill_tokens -=
+      std::min(server.own.prefill_tokens, this->attempt->prefill_tokens);
+  this->attempt->prefill_tokens = 0;
+}
+
+void Exchange::ReleaseAttempt() {
+  if (!this->attempt) {
+    return;
+  }
+  this->EndPrefill();
+  PooledServer& server = *this->attempt->server;
+  server.own.running -= std::min(server.own.running, 1U);
+  uint32_t& running = this->core.demand[this->service_name].running;
+  running -= std::min(running, 1U);
+  if (this->attempt->completed && this->attempt->connection->Reusable()) {
+    this->core.pool.Release(server, this->attempt->connection);
+  } else {
+    this->attempt->connection->Close();
+  }
+  this->attempt.reset();
+}
+
+void Exchange::OnSending() {
+  this->attempt->sent = true;
+  this->attempt->last_byte = BootClock::now();
+  this->sends += 1;
+}
+
+bool Exchange::OnHead(const httpio::ResponseHead& head) {
+  serving::ResponseFacts facts = this->core.wire.DecodeResponse(head);
+  if (!facts.attempt_id.empty() &&
+      facts.attempt_id != this->request.facts.attempt_id) {
+    return false;
+  }
+  this->attempt->last_byte = BootClock::now();
+  if (facts.keep_alive) {
+    this->attempt->connection->SetKeepAlive(
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(*facts.keep_alive)));
+  }
+  this->attempt->facts = std::move(facts);
+  return true;
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  const TimePoint now = BootClock::now();
+  this->attempt->last_byte = now;
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  const bool streaming = this->IsStream() && facts.event_stream &&
+                         facts.stamped && facts.status / 100 == 2 &&
+                         !facts.attempt_id.empty();
+  if (!streaming) {
+    this->buffered.append(bytes);
+    if (this->buffered.size() > kMaxBufferedAnswer) {
+      this->AbortClient("answer_too_large");
+    }
+    return;
+  }
+  this->splitter.Append(bytes);
+  this->ForwardEvents(now);
+}
+
+void Exchange::ForwardEvents(TimePoint now) {
+  std::string whole;
+  while (const auto event = this->splitter.Next()) {
+    if (event->id && this->last_event_id &&
+        *event->id <= *this->last_event_id) {
+      continue;  // Repeated after a resumption.
+    }
+    if (event->id) {
+      this->last_event_id = event->id;
+    }
+    this->events += 1;
+    whole += event->text;
+  }
+  if (whole.empty()) {
+    return;
+  }
+  if (!this->attempt->first_event) {
+    this->attempt->first_event = true;
+    this->EndPrefill();
+  }
+  if (!this->counted_run) {
+    this->counted_run = true;
+    this->first_event_at = now;
+    if (this->customer != nullptr) {
+      this->core.CountRun(this->customer->name, now);
+    }
+  }
+  this->SendStreamHead();
+  this->SendChunk(whole);
+  if (this->client->PendingBytes() > kMaxClientBacklog) {
+    this->attempt->connection->SetPaused(true);
+    this->client->SetDrained([weak = this->weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->attempt) {
+        self->attempt->connection->SetPaused(false);
+      }
+    });
+  }
+}
+
+void Exchange::SendStreamHead() {
+  if (this->answer_started) {
+    return;
+  }
+  this->answer_started = true;
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  std::string head =
+      "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
+  for (const auto& [name, value] : facts.forwarded) {
+    head += name + ": " + value + "\r\n";
+  }
+  if (this->core.leaving) {
+    head += "Connection: close\r\n";
+  }
+  head += "Transfer-Encoding: chunked\r\n\r\n";
+  this->client->Send(std::move(head));
+}
+
+void Exchange::SendChunk(std::string_view bytes) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string size;
+  for (size_t left = bytes.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  std::string chunk = size + "\r\n";
+  chunk += bytes;
+  chunk += "\r\n";
+  this->client->Send(std::move(chunk));
+}
+
+void Exchange::OnComplete() {
+  const serving::ResponseFacts facts = *this->attempt->facts;
+  const bool rejected = facts.not_run || facts.status == 421;
+  const bool success = facts.status / 100 == 2;
+  this->attempt->completed = true;
+  if (rejected) {
+    this->AfterFailure(AttemptFailure::kRejected);
+    return;
+  }
+  if (success && (!facts.stamped || facts.attempt_id.empty())) {
+    this->attempt->completed = false;
+    this->AfterFailure(AttemptFailure::kMalformed);
+    return;
+  }
+  if (success && this->IsStream() && facts.event_stream) {
+    this->CompleteStream();
+    return;
+  }
+  this->CompleteBuffered();
+}
+
+void Exchange::CompleteStream() {
+  const std::string rest(this->splitter.Rest());
+  if (!rest.empty()) {
+    // The server stopped in the middle of an event.
+    this->attempt->completed = false;
+    this->AfterFailure(AttemptFailure::kBroken);
+    return;
+  }
+  this->core.pool.NoteSuccess(*this->attempt->server);
+  this->core.suspects.NoteAnswer(this->fingerprint);
+  this->SendStreamHead();
+  this->client->Send("0\r\n\r\n");
+  this->Finish("served", this->attempt->facts->status);
+}
+
+void Exchange::CompleteBuffered() {
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  if (!this->counted_run && this->customer != nullptr) {
+    this->counted_run = true;
+    this->core.CountRun(this->customer->name, this->attempt->started);
+  }
+  this->core.suspects.NoteAnswer(this->fingerprint);
+  if (facts.status >= 500) {
+    this->AfterFailure(AttemptFailure::kErrored);
+    return;
+  }
+  if (this->answer_started) {
+    this->AbortClient("resumption_refused");
+    return;
+  }
+  this->core.pool.NoteSuccess(*this->attempt->server);
+  this->ForwardBuffered();
+}
+
+void Exchange::ForwardBuffered() {
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  std::string answer =
+      "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
+  for (const auto& [name, value] : facts.forwarded) {
+    answer += name + ": " + value + "\r\n";
+  }
+  const bool bodyless = facts.status == 204 || facts.status == 304;
+  if (!bodyless) {
+    answer +=
+        "Content-Length: " + std::to_string(this->buffered.size()) + "\r\n";
+  }
+  if (this->core.leaving || !this->client->KeepAlive()) {
+    answer += "Connection: close\r\n";
+  }
+  answer += "\r\n";
+  answer += this->buffered;
+  this->client->Send(std::move(answer));
+  this->Finish(facts.status / 100 == 2 ? "served" : "server_status",
+               facts.status);
+}
+
+void Exchange::OnFailure(AttemptFailure failure) {
+  if (this->move.step == MoveStep::kStopping) {
+    this->move.stream_closed = true;
+    if (this->move.answered) {
+      this->ContinueFromMove();
+    }
+    return;
+  }
+  this->AfterFailure(failure);
+}
+
+void Exchange::AfterFailure(AttemptFailure failure) {
+  const auto self = this->shared_from_this();
+  const TimePoint now = BootClock::now();
+  const std::shared_ptr<PooledServer> server = this->attempt->server;
+  const bool sent = this->attempt->sent;
+  if (!sent && failure == AttemptFailure::kBroken) {
+    failure = AttemptFailure::kNotSent;
+  }
+  this->core.pool.NoteFailure(*server, failure, now);
+  if (failure == AttemptFailure::kBroken && !this->counted_run) {
+    this->core.suspects.NoteCrash(this->fingerprint, now);
+  }
+  this->core.log.Write(
+      EventLevel::kWarning, "attempt_failed",
+      {{"id", this->request.facts.attempt_id},
+       {"server", server->server.id},
+       {"service", this->service_name},
+       {"failure", FailureName(failure)},
+       {"status", this->attempt->facts ? this->attempt->facts->status : 0},
+       {"after_ms", Millis(now - this->attempt->started)},
+       {"sends", this->sends},
+       {"servers_revision", this->core.servers_revision},
+       {"server_listed", server->listed},
+       {"server_draining", server->server.draining}});
+
+  serving::RetryFacts facts;
+  facts.failure = failure;
+  facts.repeatable = this->route->Repeatable();
+  facts.answer_started = this->answer_started;
+  facts.continues = this->IsStream() && this->route->resumable;
+  facts.attempts = this->sends;
+  facts.max_attempts = this->route->max_attempts;
+  facts.server_ended = !server->listed || server->server.draining;
+  facts.may_have_run = this->may_have_run;
+  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  facts.time_left = now + kLeastTimeLeft < end;
+  this->may_have_run = this->may_have_run || serving::MayHaveRun(failure);
+  this->tried.push_back(server->server.id);
+
+  RetryDecision decision = serving::DecideAfterFailure(facts, true);
+  const bool unreached = failure == AttemptFailure::kNotSent;
+  if (unreached && this->tried.size() >= kMaxUnreached) {
+    decision = serving::DecideAfterFailure(facts, false);
+  }
+  if (decision == RetryDecision::kResend) {
+    std::optional<Attempt> failed = std::exchange(this->attempt, std::nullopt);
+    const std::string body_of_failed = this->buffered;
+    const bool resent = !this->core.suspects.Refused(this->fingerprint) &&
+                        this->TryServer(this->sends > 0 && !unreached);
+    std::optional<Attempt> next =
+        std::exchange(this->attempt, std::move(failed));
+    if (resent) {
+      this->ReleaseAttempt();
+      this->attempt = std::move(next);
+      return;
+    }
+    this->buffered = body_of_failed;
+    decision = serving::DecideAfterFailure(facts, false);
+  }
+  switch (decision) {
+    case RetryDecision::kForward:
+      this->ForwardBuffered();
+      return;
+    case RetryDecision::kAbort:
+      this->AbortClient(FailureName(failure));
+      return;
+    case RetryDecision::kAnswerNotRun:
+      this->Refuse(503, kRetryFull, FailureName(failure));
+      return;
+    case RetryDecision::kAnswerUnknown:
+    case RetryDecision::kResend:
+      this->Refuse(502, std::nullopt, FailureName(failure));
+      return;
+  }
+}
+
+void Exchange::Refuse(uint32_t status,
+                      std::optional<Milliseconds> retry_after,
+                      std::string_view reason) {
+  const bool not_run = status == 429 || status == 503;
+  if (not_run && this->customer != nullptr && this->quota_cost > 0) {
+    this->core.quotas.Refund(this->customer->name, this->quota_cost);
+  }
+  httpio::Fields fields =
+      this->core.wire.AnswerFields(this->request.facts.attempt_id, retry_after);
+  fields.emplace_back("Content-Type", "application/json");
+  const std::string text = "{\"error\":\"" + std::string(reason) + "\"}";
+  const bool keep = !this->core.leaving && this->client->KeepAlive();
+  this->client->Send(httpio::MakeResponse(status, fields, text, keep));
+  this->Finish(reason, status);
+}
+
+void Exchange::AbortClient(std::string_view reason) {
+  const auto self = this->shared_from_this();
+  const auto connection = this->client;
+  this->Finish(reason, 0);
+  connection->Abort();
+}
+
+void Exchange::OnClientGone() {
+  const auto self = this->shared_from_this();
+  this->Finish("client_gone", 0);
+}
+
+void Exchange::Finish(std::string_view outcome, uint32_t status) {
+  if (this->done) {
+    return;
+  }
+  this->done = true;
+  const auto self = this->shared_from_this();
+  const TimePoint now = BootClock::now();
+  const bool served = outcome == "served";
+  std::string server_id;
+  if (this->attempt) {
+    server_id = this->attempt->server->server.id;
+    this->ReleaseAttempt();
+  }
+  const int64_t first_event =
+      this->events > 0 ? Millis(this->first_event_at - this->arrived) : -1;
+  this->core.log.Write(
+      served ? EventLevel::kInfo : EventLevel::kWarning, "request",
+      {{"id", this->request.facts.attempt_id},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"customer", this->customer == nullptr ? "" : this->customer->name},
+       {"config", this->config == nullptr ? 0 : this->config->version},
+       {"servers_revision", this->core.servers_revision},
+       {"server", server_id},
+       {"sends", this->sends},
+       {"events", this->events},
+       {"first_event_ms", first_event},
+       {"total_ms", Millis(now - this->arrived)},
+       {"status", status},
+       {"outcome", outcome}});
+  this->core.counters
+      .Get("requests_total", "outcome=\"" + std::string(outcome) + "\"")
+      .Add();
+  const auto connection = this->client;
+  this->core.exchanges.erase(connection.get());
+  if (connection->IsOpen() && status != 0) {
+    connection->EndResponse(!this->core.leaving);
+  }
+}
+
+void Exchange::CheckTime(TimePoint now) {
+  if (this->done || !this->attempt) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->CheckTimeout(now);
+  if (this->done || !this->attempt) {
+    return;
+  }
+  this->CheckSilence(now);
+  if (this->done || !this->attempt) {
+    return;
+  }
+  this->CheckLeaving(now);
+}
+
+void Exchange::CheckTimeout(TimePoint now) {
+  if (now < std::min(this->route_deadline, this->client_deadline)) {
+    return;
+  }
+  if (this->answer_started) {
+    this->AbortClient("timeout");
+    return;
+  }
+  const bool may_run = this->attempt->sent || this->may_have_run;
+  this->Refuse(may_run ? 504 : 503, std::nullopt, "timeout");
+}
+
+Duration Exchange::SilenceBound() const {
+  if (!this->IsStream()) {
+    return std::max<Duration>(2 * this->route->goal, kConnectTimeout / 2);
+  }
+  const Milliseconds patience = std::max(
+      {kClientPatience, 4 * this->route->goal, 8 * this->route->gap_goal});
+  return patience / 2;
+}
+
+bool Exchange::ResendInsteadOfWaiting(TimePoint now) {
+  if (!this->route->Repeatable() || this->sends >= this->route->max_attempts) {
+    return false;
+  }
+  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  return now + kLeastTimeLeft < end;
+}
+
+void Exchange::CheckSilence(TimePoint now) {
+  if (!this->attempt->sent) {
+    if (now - this->attempt->started > kConnectTimeout) {
+      this->attempt->connection->Close();
+      this->AfterFailure(AttemptFailure::kNotSent);
+    }
+    return;
+  }
+  if (this->move.step == MoveStep::kStopping ||
+      now - this->attempt->last_byte < this->SilenceBound() ||
+      !this->ResendInsteadOfWaiting(now)) {
+    return;
+  }
+  // Only given up if another server takes it; waiting may still succeed.
+  const std::shared_ptr<PooledServer> other = [&] {
+    this->tried.push_back(this->attempt->server->server.id);
+    auto chosen = this->ChooseServer();
+    this->tried.pop_back();
+    return chosen;
+  }();
+  if (!other) {
+    return;
+  }
+  this->attempt->connection->Close();
+  this->AfterFailure(AttemptFailure::kSilent);
+}
+
+}  // namespace boragewharf::relay
--- /dev/null
+++ b/packages/relay/src/server_pool_base.cc
@@ -0,0 +1,219 @@
+/**
+ * @file server_pool_base.cc
+ * Servers, connections and failure records.
+ */
+#include "relay/server_pool_base.h"
+
+#include <algorithm>
+
+namespace boragewharf::relay {
+namespace {
+
+using serving::AttemptFailure;
+using serving::Distance;
+
+/** Weight of the newest result in the smoothed failure rate. */
+constexpr double kFailureWeight = 0.15;
+
+/** Failures in a row after which a server is avoided. */
+constexpr uint32_t kAvoidAfter = 3;
+
+/** Time for which a server is avoided; about the length of an outage's tail. */
+constexpr std::chrono::milliseconds kAvoidTime(2000);
+
+/** A server that cannot be reached is avoided at once, but only briefly. */
+constexpr std::chrono::milliseconds kUnreachableTime(1000);
+
+/** Idle bound where the server announces none. */
+constexpr std::chrono::seconds kDefaultIdle(4);
+
+/** Announced idle times are whole seconds; close this much earlier. */
+constexpr std::chrono::milliseconds kIdleMargin(500);
+
+/** Idle connections kept for each server; more are closed. */
+constexpr size_t kMaxIdleConnections = 64;
+
+/** A sent prefix counts as cached for this long. */
+constexpr std::chrono::seconds kPrefixMemory(10);
+
+/** Prefixes remembered for each server. */
+constexpr size_t kMaxPrefixes = 1024;
+
+/** A removed server is forgotten once its requests have ended. */
+constexpr std::chrono::seconds kForgetAfter(30);
+
+Duration IdleBound(const UpstreamConnection& connection) {
+  const auto announced = connection.KeepAlive();
+  if (!announced) {
+    return kDefaultIdle;
+  }
+  return std::max<Duration>(Duration(0), *announced - kIdleMargin);
+}
+
+}  // namespace
+
+ServerPool::ServerPool(boost::asio::io_context& event_loop,
+                       std::string own_zone,
+                       std::string own_region,
+                       std::map<std::string, std::string> regions)
+    : loop(event_loop),
+      zone(std::move(own_zone)),
+      region(std::move(own_region)),
+      zone_regions(std::move(regions)) {}
+
+Distance ServerPool::DistanceTo(std::string_view other_zone) const {
+  if (other_zone == this->zone) {
+    return Distance::kSameZone;
+  }
+  const auto found = this->zone_regions.find(std::string(other_zone));
+  if (found != this->zone_regions.end() && found->second == this->region) {
+    return Distance::kSameRegion;
+  }
+  return Distance::kOtherRegion;
+}
+
+void ServerPool::Update(const serving::ServerSet& set, TimePoint now) {
+  for (auto& [id, pooled] : this->servers) {
+    if (pooled->listed) {
+      pooled->unlisted_at = now;
+    }
+    pooled->listed = false;
+  }
+  for (const serving::BackendServer& listed : set.servers) {
+    auto& pooled = this->servers[listed.id];
+    const bool replaced = pooled && (pooled->server.started != listed.started ||
+                                     pooled->server.address != listed.address);
+    if (!pooled || replaced) {
+      pooled = std::make_shared<PooledServer>();
+      pooled->distance = this->DistanceTo(listed.zone);
+    }
+    const bool notice_is_new = listed.leaves_in && !pooled->leaves_at;
+    pooled->server = listed;
+    pooled->listed = true;
+    if (notice_is_new) {
+      pooled->leaves_at = now + *listed.leaves_in;
+    }
+  }
+  std::erase_if(this->servers, [&](const auto& entry) {
+    const PooledServer& pooled = *entry.second;
+    return !pooled.listed && pooled.own.running == 0 &&
+           now - pooled.unlisted_at > kForgetAfter;
+  });
+}
+
+void ServerPool::UpdatePeerLoads(
+    const std::map<serving::NameHash, serving::ServerLoad>& loads) {
+  for (auto& [id, pooled] : this->servers) {
+    const auto found = loads.find(serving::HashName(id));
+    pooled->peers =
+        found == loads.end() ? serving::ServerLoad{} : found->second;
+  }
+}
+
+std::shared_ptr<PooledServer> ServerPool::Find(std::string_view id) const {
+  const auto found = this->servers.find(id);
+  return found == this->servers.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<PooledServer>> ServerPool::Candidates(
+    std::string_view service,
+    const std::vector<std::string>& excluded) const {
+  std::vector<std::shared_ptr<PooledServer>> found;
+  for (const auto& [id, pooled] : this->servers) {
+    if (!pooled->listed || pooled->server.draining ||
+        pooled->server.service != service) {
+      continue;
+    }
+    if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
+      continue;
+    }
+    found.push_back(pooled);
+  }
+  return found;
+}
+
+serving::ServerView ServerPool::View(const PooledServer& pooled,
+                                     uint64_t shared_part,
+                                     TimePoint now) const {
+  serving::ServerView view;
+  view.server = &pooled.server;
+  view.distance = pooled.distance;
+  view.running = pooled.own.running + pooled.peers.running;
+  view.prefill_tokens =
+      uint64_t{pooled.own.prefill_tokens} + pooled.peers.prefill_tokens;
+  view.failure_rate = pooled.failure_rate;
+  view.avoided = now < pooled.avoid_until;
+  const auto sent = pooled.prefixes.find(shared_part);
+  view.prefix_cached = shared_part != 0 && sent != pooled.prefixes.end() &&
+                       now - sent->second < kPrefixMemory;
+  return view;
+}
+
+std::shared_ptr<UpstreamConnection> ServerPool::Acquire(PooledServer& pooled,
+                                                        Duration max_idle,
+                                                        TimePoint now) {
+  while (!pooled.idle.empty()) {
+    std::shared_ptr<UpstreamConnection> connection =
+        std::move(pooled.idle.back());
+    pooled.idle.pop_back();
+    const Duration bound = std::min(max_idle, IdleBound(*connection));
+    if (connection->Reusable() && now - connection->LastActive() < bound) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return std::make_shared<UpstreamConnection>(this->loop,
+                                              pooled.server.address);
+}
+
+void ServerPool::Release(PooledServer& pooled,
+                         std::shared_ptr<UpstreamConnection> connection) {
+  if (!connection->Reusable() || pooled.idle.size() >= kMaxIdleConnections ||
+      !pooled.listed) {
+    connection->Close();
+    return;
+  }
+  pooled.idle.push_back(std::move(connection));
+}
+
+void ServerPool::NoteSuccess(PooledServer& pooled) {
+  pooled.failure_rate *= 1 - kFailureWeight;
+  pooled.failures_in_row = 0;
+}
+
+void ServerPool::NoteFailure(PooledServer& pooled,
+                             AttemptFailure failure,
+                             TimePoint now) {
+  if (failure == AttemptFailure::kRejected) {
+    return;  // A full server is not a failing one.
+  }
+  pooled.failure_rate += kFailureWeight * (1 - pooled.failure_rate);
+  pooled.failures_in_row += 1;
+  if (failure == AttemptFailure::kNotSent) {
+    pooled.avoid_until = now + kUnreachableTime;
+  } else if (pooled.failures_in_row >= kAvoidAfter) {
+    pooled.avoid_until = now + kAvoidTime;
+  }
+}
+
+void ServerPool::CheckTime(TimePoint now) {
+  for (auto& [id, pooled] : this->servers) {
+    while (!pooled->idle.empty()) {
+      const auto& oldest = pooled->idle.front();
+      const bool usable = oldest->Reusable() && pooled->listed &&
+                          now - oldest->LastActive() < IdleBound(*oldest);
+      if (usable) {
+        break;
+      }
+      oldest->Close();
+      pooled->idle.pop_front();
+    }
+    if (pooled->prefixes.size() > kMaxPrefixes) {
+      std::erase_if(pooled->prefixes, [&](const auto& entry) {
+        return now - entry.second > kPrefixMemory;
+      });
+    }
+  }
+}
+
+}  // namespace boragewharf::relay
--- /dev/null
+++ b/packages/relay/src/upstream_connection_base.cc
@@ -0,0 +1,246 @@
+/**
+ * @file upstream_connection_base.cc
+ * Connections to backend servers.
+ */
+#include "relay/upstream_connection_base.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace boragewharf::relay {
+namespace {
+
+namespace asio = boost::asio;
+using serving::AttemptFailure;
+using tcp = asio::ip::tcp;
+
+/** Unacknowledged bytes break the connection after this; silent paths. */
+constexpr int kUserTimeoutMs = 3000;
+
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(asio::io_context& loop, Endpoint address)
+    : server(std::move(address)), socket(loop), last_active(BootClock::now()) {}
+
+void UpstreamConnection::Send(std::string request_head,
+                              std::shared_ptr<const std::string> request_body,
+                              bool is_head_request,
+                              UpstreamListener& receiver) {
+  this->head = std::move(request_head);
+  this->body = std::move(request_body);
+  this->head_request = is_head_request;
+  this->listener = &receiver;
+  this->paused = false;
+  this->NewParser();
+  this->last_active = BootClock::now();
+  if (this->connected) {
+    this->Write();
+    return;
+  }
+  this->Connect();
+}
+
+void UpstreamConnection::Connect() {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(this->server.host, error);
+  if (error) {
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+      self->Fail(AttemptFailure::kNotSent);
+    });
+    return;
+  }
+  this->socket.async_connect(
+      tcp::endpoint(address, this->server.port),
+      [self =
+           this->shared_from_this()](const boost::system::error_code& failed) {
+        if (self->closed) {
+          return;
+        }
+        if (failed) {
+          self->Fail(AttemptFailure::kNotSent);
+          return;
+        }
+        boost::system::error_code ignored;
+        self->socket.set_option(tcp::no_delay(true), ignored);
+        self->socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+        self->connected = true;
+        self->Write();
+      });
+}
+
+void UpstreamConnection::Write() {
+  this->listener->OnSending();
+  if (this->closed) {
+    return;
+  }
+  this->writing = true;
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(this->head),
+                                                     asio::buffer(*this->body)};
+  asio::async_write(this->socket, buffers,
+                    [self = this->shared_from_this()](
+                        const boost::system::error_code& error, size_t) {
+                      self->writing = false;
+                      if (error) {
+                        self->clean = false;
+                      }
+                      // A failure shows on the read side as well, behind an
+                      // answer that the server may have sent early.
+                    });
+  this->Read();
+}
+
+void UpstreamConnection::Read() {
+  if (this->reading || this->closed || this->paused) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_read_some(
+      asio::buffer(this->chunk),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        size_t size) {
+        self->reading = false;
+        self->OnRead(error, size);
+      });
+}
+
+void UpstreamConnection::OnRead(const boost::system::error_code& error,
+                                size_t size) {
+  if (this->closed) {
+    return;
+  }
+  if (this->listener == nullptr) {
+    // Bytes or an end on an idle connection: it is not used again.
+    this->clean = false;
+    this->Close();
+    return;
+  }
+  if (error) {
+    this->clean = false;
+    if (error == asio::error::eof && this->accepted &&
+        this->parser->FinishAtEnd()) {
+      this->Complete();
+      return;
+    }
+    this->Fail(AttemptFailure::kBroken);
+    return;
+  }
+  this->last_active = BootClock::now();
+  this->input.append(this->chunk.data(), size);
+  this->Parse();
+  this->Read();
+}
+
+void UpstreamConnection::NewParser() {
+  this->announced = false;
+  this->accepted = false;
+  this->parser = std::make_unique<httpio::ResponseParser>(
+      [this](std::string_view bytes) {
+        this->AnnounceHead();
+        if (this->accepted && this->listener != nullptr) {
+          this->listener->OnBody(bytes);
+        }
+      },
+      this->head_request);
+}
+
+void UpstreamConnection::AnnounceHead() {
+  if (this->announced || this->listener == nullptr) {
+    return;
+  }
+  this->announced = true;
+  this->accepted = this->listener->OnHead(this->parser->head);
+}
+
+void UpstreamConnection::Parse() {
+  const auto self = this->shared_from_this();
+  while (!this->input.empty() && this->listener != nullptr) {
+    const size_t used = this->parser->Feed(this->input);
+    this->input.erase(0, used);
+    if (this->closed || this->listener == nullptr) {
+      return;
+    }
+    if (this->parser->Failed()) {
+      this->clean = false;
+      this->Fail(AttemptFailure::kMalformed);
+      return;
+    }
+    if (!this->parser->is_header_done()) {
+      return;
+    }
+    const bool interim = this->parser->head.status < 200;
+    if (!interim) {
+      this->AnnounceHead();
+      if (this->closed || this->listener == nullptr) {
+        return;
+      }
+    }
+    if (!this->parser->is_done()) {
+      return;
+    }
+    if (interim) {
+      this->NewParser();
+      continue;
+    }
+    if (!this->accepted) {
+      // A late answer to an earlier request; ours follows.
+      this->clean = false;
+      this->NewParser();
+      continue;
+    }
+    this->Complete();
+    return;
+  }
+}
+
+void UpstreamConnection::Complete() {
+  const auto self = this->shared_from_this();
+  const bool keep =
+      this->parser->keep_alive() && this->input.empty() && !this->writing;
+  if (!keep) {
+    this->clean = false;
+  }
+  UpstreamListener* receiver = std::exchange(this->listener, nullptr);
+  this->last_active = BootClock::now();
+  receiver->OnComplete();
+  if (!this->Reusable()) {
+    this->Close();
+  }
+}
+
+void UpstreamConnection::Fail(AttemptFailure failure) {
+  const auto self = this->shared_from_this();
+  UpstreamListener* receiver = std::exchange(this->listener, nullptr);
+  this->Close();
+  if (receiver != nullptr) {
+    receiver->OnFailure(failure);
+  }
+}
+
+void UpstreamConnection::Close() {
+  this->listener = nullptr;
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  this->connected = false;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+}
+
+void UpstreamConnection::SetPaused(bool pause) {
+  this->paused = pause;
+  if (!pause && this->connected) {
+    this->Read();
+  }
+}
+
+bool UpstreamConnection::Reusable() const {
+  return this->connected && !this->closed && this->clean;
+}
+
+}  // namespace boragewharf::relay
--- /dev/null
+++ b/packages/serving/include/serving/peer_type.h
@@ -0,0 +1,110 @@
+/**
+ * @file peer_type.h
+ * What the nodes tell each other, and what a node derives from it.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boragewharf::serving {
+
+/** Short identifier of a name in messages; collisions only blur load. */
+using NameHash = uint32_t;
+
+/** Hash of a customer, service or server name. @note Thread-safe. */
+NameHash HashName(std::string_view name);
+
+/** Load that one node puts on one server. */
+struct ServerLoad {
+  uint32_t running = 0;         ///< Requests sent and not ended.
+  uint32_t prefill_tokens = 0;  ///< Prompt tokens without a first event.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->running, this->prefill_tokens);
+  }
+};
+
+/** Demand that one node sees for one service. */
+struct ServiceDemand {
+  uint32_t running = 0;             ///< Requests in progress.
+  uint32_t prefill_per_second = 0;  ///< Prompt tokens of arrivals, smoothed.
+  uint32_t refused = 0;  ///< Refused for lack of servers, since the start.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->running, this->prefill_per_second, this->refused);
+  }
+};
+
+/** Requests of one customer that began to run in a usage window. */
+using UsageCounts = std::map<NameHash, uint32_t>;
+
+/** State of a node's traffic that other nodes need. */
+struct TrafficReport {
+  std::map<NameHash, uint64_t> admitted;  ///< Quota units since the start.
+  std::map<NameHash, ServerLoad> loads;   ///< Servers with load only.
+  std::map<NameHash, ServiceDemand> demand;
+  std::map<int64_t, UsageCounts> usage;  ///< By window, recent ones.
+  std::map<uint64_t, uint32_t> crashes;  ///< Servers crashed by request.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->admitted, this->loads, this->demand, this->usage,
+            this->crashes);
+  }
+};
+
+/** A node as it presents itself to the others. */
+struct NodeStatus {
+  std::string name;
+  std::string ip;
+  std::string zone;
+  std::string region;
+  uint64_t incarnation = 0;       ///< Start of the process; rises.
+  uint64_t sequence = 0;          ///< Rises with each message.
+  bool ready = false;             ///< Serves requests.
+  bool leaving = false;           ///< Received the signal to stop.
+  uint64_t config_revision = 0;   ///< Store revision of its configuration.
+  uint64_t servers_revision = 0;  ///< Store revision of its server list.
+  int64_t wall_ms = 0;            ///< Its estimate of the time of day.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->name, this->ip, this->zone, this->region, this->incarnation,
+            this->sequence, this->ready, this->leaving, this->config_revision,
+            this->servers_revision, this->wall_ms);
+  }
+};
+
+/** A datagram between nodes. */
+struct PeerMessage {
+  uint32_t format = 0;  ///< kPeerFormat.
+  NodeStatus status;
+  TrafficReport report;
+  std::vector<std::string> known_ips;  ///< Other nodes heard recently.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->format, this->status, this->report, this->known_ips);
+  }
+};
+
+/** Messages of another format are dropped. */
+inline constexpr uint32_t kPeerFormat = 1;
+
+/** What the traffic side needs to know of the other nodes. */
+struct PeerSummary {
+  uint32_t nodes = 1;          ///< Known nodes, this one included.
+  double silent_share = 0;     ///< Share of nodes that may be cut off.
+  int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
+  std::map<NameHash, uint64_t> admitted;  ///< New since the last summary.
+  std::map<NameHash, ServerLoad> loads;   ///< Of all other nodes.
+  std::map<uint64_t, uint32_t> crashes;   ///< Of all other nodes.
+};
+
+}  // namespace boragewharf::serving
--- /dev/null
+++ b/packages/serving/include/serving/quota_base.h
@@ -0,0 +1,77 @@
+/**
+ * @file quota_base.h
+ * Quotas of customers that all nodes share without a call per request.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/time_type.h"
+#include "serving/config_type.h"
+#include "serving/request_type.h"
+
+namespace boragewharf::serving {
+
+/** Cost of a request in the unit of the customer's quota. */
+double QuotaCost(const Customer& customer, const RequestFacts& facts);
+
+/**
+ * Token buckets of all customers. Each node deducts what it admits at once and
+ * what the other nodes admit when they report it. For nodes that are silent
+ * their equal share of the rate is deducted, as they may still admit.
+ *
+ * Not thread-safe.
+ */
+class QuotaTable {
+ public:
+  /**
+   * @param allowed_overdraft Amount below zero that is still admitted; covers
+   * the lag of reports, within the excess that the deployment allows.
+   * @param fill Fill of a new bucket, relative to its burst.
+   */
+  QuotaTable(double allowed_overdraft, double fill);
+
+  /** Takes over new limits; keeps the levels, cut to the new bursts. */
+  void Configure(const ServingConfig& config, TimePoint now);
+
+  /** Admits a request and deducts its cost. @return Whether admitted. */
+  bool Admit(const Customer& customer, double cost, TimePoint now);
+
+  /** Returns the cost of an admitted request that did not run. */
+  void Refund(std::string_view customer, double cost);
+
+  /** Deducts what other nodes admitted since their last report. */
+  void DeductRemote(std::string_view customer, double cost);
+
+  /** Sets the share of nodes that are silent, 0 to 1. */
+  void SetSilentShare(double share) { this->silent_share = share; }
+
+  /** Total admitted here since the start, for the report to other nodes. */
+  const std::map<std::string, double, std::less<>>& Admitted() const {
+    return this->admitted;
+  }
+
+  /** Time until a request of @p cost would be admitted, if nothing else is. */
+  Milliseconds TimeUntil(const Customer& customer, double cost) const;
+
+ private:
+  struct Bucket {
+    double rate = 0;
+    double burst = 0;
+    double level = 0;
+    TimePoint updated;
+  };
+
+  void Refill(Bucket& bucket, TimePoint now) const;
+
+  double overdraft;
+  double initial_fill;
+  double silent_share = 0;
+  std::map<std::string, Bucket, std::less<>> buckets;
+  std::map<std::string, double, std::less<>> admitted;
+};
+
+}  // namespace boragewharf::serving
--- /dev/null
+++ b/packages/serving/src/quota_base.cc
@@ -0,0 +1,98 @@
+/**
+ * @file quota_base.cc
+ * Shared quotas.
+ */
+#include "serving/quota_base.h"
+
+#include <algorithm>
+
+namespace boragewharf::serving {
+
+double QuotaCost(const Customer& customer, const RequestFacts& facts) {
+  if (!customer.quota_in_tokens) {
+    return 1;
+  }
+  if (!facts.has_token_counts) {
+    return static_cast<double>(customer.plain_tokens);
+  }
+  return static_cast<double>(facts.prompt_tokens) + facts.max_output_tokens;
+}
+
+QuotaTable::QuotaTable(double allowed_overdraft, double fill)
+    : overdraft(allowed_overdraft), initial_fill(fill) {}
+
+void QuotaTable::Configure(const ServingConfig& config, TimePoint now) {
+  std::map<std::string, Bucket, std::less<>> next;
+  for (const Customer& customer : config.customers) {
+    if (customer.rate_per_second <= 0) {
+      continue;
+    }
+    Bucket bucket;
+    const auto found = this->buckets.find(customer.name);
+    if (found == this->buckets.end()) {
+      bucket.level = customer.burst * this->initial_fill;
+      bucket.updated = now;
+    } else {
+      this->Refill(found->second, now);
+      bucket = found->second;
+    }
+    bucket.rate = customer.rate_per_second;
+    bucket.burst = customer.burst;
+    bucket.level = std::min(bucket.level, bucket.burst);
+    next.emplace(customer.name, bucket);
+  }
+  this->buckets = std::move(next);
+}
+
+void QuotaTable::Refill(Bucket& bucket, TimePoint now) const {
+  const std::chrono::duration<double> passed = now - bucket.updated;
+  bucket.updated = now;
+  const double rate = bucket.rate * (1.0 - this->silent_share);
+  bucket.level = std::min(bucket.burst, bucket.level + rate * passed.count());
+}
+
+bool QuotaTable::Admit(const Customer& customer, double cost, TimePoint now) {
+  const auto found = this->buckets.find(customer.name);
+  if (found != this->buckets.end()) {
+    Bucket& bucket = found->second;
+    this->Refill(bucket, now);
+    if (bucket.level + this->overdraft < cost) {
+      return false;
+    }
+    bucket.level -= cost;
+  }
+  this->admitted[customer.name] += cost;
+  return true;
+}
+
+void QuotaTable::Refund(std::string_view customer, double cost) {
+  const auto found = this->buckets.find(customer);
+  if (found != this->buckets.end()) {
+    found->second.level =
+        std::min(found->second.burst, found->second.level + cost);
+  }
+  const auto total = this->admitted.find(customer);
+  if (total != this->admitted.end()) {
+    total->second -= cost;
+  }
+}
+
+void QuotaTable::DeductRemote(std::string_view customer, double cost) {
+  const auto found = this->buckets.find(customer);
+  if (found != this->buckets.end()) {
+    found->second.level -= cost;
+  }
+}
+
+Milliseconds QuotaTable::TimeUntil(const Customer& customer,
+                                   double cost) const {
+  const auto found = this->buckets.find(customer.name);
+  if (found == this->buckets.end() || found->second.rate <= 0) {
+    return Milliseconds(0);
+  }
+  const double missing = cost - this->overdraft - found->second.level;
+  const double seconds = std::max(0.0, missing / found->second.rate);
+  return Milliseconds(static_cast<int64_t>(seconds * 1000));
+}
+
+}  // namespace boragewharf::serving
--- a/packages/platform/include/platform/cloud_api_base.h
+++ b/packages/store/include/store/cloud_api_base.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/cloud_type.h"
+#include "store/cloud_type.h"
 
 namespace boragewharf {
 
--- a/packages/platform/include/platform/http_cloud_api_base.h
+++ b/packages/store/include/store/http_cloud_api_base.h
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/cloud_api_base.h"
-#include "platform/http_channel_base.h"
+#include "store/cloud_api_base.h"
+#include "store/http_channel_base.h"
 
 namespace boragewharf {
 
--- a/packages/platform/include/platform/http_object_store_base.h
+++ b/packages/store/include/store/http_object_store_base.h
@@ -10,8 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/http_channel_base.h"
-#include "platform/object_store_base.h"
+#include "store/http_channel_base.h"
+#include "store/object_store_base.h"
 
 namespace boragewharf {
 
--- a/packages/platform/include/platform/instance_list_base.h
+++ b/packages/store/include/store/instance_list_base.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "platform/instance_type.h"
+#include "store/instance_type.h"
 
 namespace boragewharf {
 
--- a/packages/platform/include/platform/object_store_base.h
+++ b/packages/store/include/store/object_store_base.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/object_type.h"
+#include "base/object_type.h"
 
 namespace boragewharf {
 
--- a/packages/platform/include/platform/store_instance_list_base.h
+++ b/packages/store/include/store/store_instance_list_base.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <vector>
 
-#include "platform/instance_list_base.h"
-#include "platform/object_store_base.h"
+#include "store/instance_list_base.h"
+#include "store/object_store_base.h"
 
 namespace boragewharf {
 
--- a/packages/platform/src/http_channel_base.cc
+++ b/packages/store/src/http_channel_base.cc
@@ -2,7 +2,7 @@
  * @file http_channel_base.cc
  * Connection pool and overall time bound on top of cpp-httplib.
  */
-#include "platform/http_channel_base.h"
+#include "store/http_channel_base.h"
 
 #include <httplib.h>
 
--- a/packages/platform/src/http_cloud_api_base.cc
+++ b/packages/store/src/http_cloud_api_base.cc
@@ -2,7 +2,7 @@
  * @file http_cloud_api_base.cc
  * Cloud API over HTTP.
  */
-#include "platform/http_cloud_api_base.h"
+#include "store/http_cloud_api_base.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/packages/platform/src/http_object_store_base.cc
+++ b/packages/store/src/http_object_store_base.cc
@@ -2,7 +2,7 @@
  * @file http_object_store_base.cc
  * Object API over HTTP: envelope, classification of answers, pages.
  */
-#include "platform/http_object_store_base.h"
+#include "store/http_object_store_base.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/packages/platform/src/store_instance_list_base.cc
+++ b/packages/store/src/store_instance_list_base.cc
@@ -2,7 +2,7 @@
  * @file store_instance_list_base.cc
  * Decoding of instance records.
  */
-#include "platform/store_instance_list_base.h"
+#include "store/store_instance_list_base.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/standins/fault_proxy_test.cc
+++ b/tests/standins/fault_proxy_test.cc
@@ -14,8 +14,8 @@
 #include "base/counter_base.h"
 #include "base/result_func.h"
 #include "base/time_type.h"
-#include "platform/http_object_store_base.h"
 #include "platform_server.h"
+#include "store/http_object_store_base.h"
 
 namespace boragewharf::standin {
 namespace {
--- a/tests/standins/platform_client_test.cc
+++ b/tests/standins/platform_client_test.cc
@@ -14,10 +14,10 @@
 #include "base/counter_base.h"
 #include "base/result_func.h"
 #include "base/scope_guard.h"
-#include "platform/http_cloud_api_base.h"
-#include "platform/http_object_store_base.h"
-#include "platform/store_instance_list_base.h"
 #include "platform_server.h"
+#include "store/http_cloud_api_base.h"
+#include "store/http_object_store_base.h"
+#include "store/store_instance_list_base.h"
 
 namespace boragewharf {
 namespace {
