Move streams off leaving servers and order servers without flapping

Change: incarnations carry random bits; completions on closed connections are dropped, a partly parsed request is not idle; on-demand servers are placed first and lowered after 1.2 s; leaving servers are asked for their notice.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -227,6 +227,7 @@
   bool in_flight = false;
   TimePoint next_try;
   TimePoint ordered_at;
+  std::optional<TimePoint> lower_since;  ///< Fewer have been wanted since.
   TimePoint unavailable_until;
 };
 
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -48,6 +48,9 @@
  * again. */
 constexpr std::chrono::seconds kMissingAfter(3);
 
+/** Fewer servers are ordered once fewer have been wanted for this long. */
+constexpr milliseconds kLowerAfter(1200);
+
 /** Demand has to be seen for this long before servers are given up. */
 constexpr std::chrono::seconds kDemandSeen(6);
 
@@ -264,6 +267,16 @@
   if (order.ordered == wanted && !missing) {
     return;
   }
+  // Servers that are given up and needed again soon cost their boot time.
+  const bool lower = order.ordered && wanted < *order.ordered;
+  if (!lower) {
+    order.lower_since.reset();
+  } else if (!order.lower_since) {
+    order.lower_since = now;
+  }
+  if (lower && now - *order.lower_since < kLowerAfter) {
+    return;
+  }
   if (!order.ordered && wanted == present) {
     order.ordered = wanted;
     order.ordered_at = now;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -308,6 +308,12 @@
   this->lease.generator.seed(this->settings.incarnation);
 }
 
+uint64_t MakeIncarnation(int64_t wall_ms, uint32_t draw) {
+  constexpr int kDrawBits = 22;
+  return (static_cast<uint64_t>(wall_ms) << kDrawBits) |
+         (draw & ((1U << kDrawBits) - 1));
+}
+
 Duration MessagePeriod(const FleetState& state) {
   const auto nodes = static_cast<int64_t>(state.peers.All().size());
   return std::max<Duration>(kMessagePeriod, nodes * kPeriodPerNode);
--- a/packages/fleet/src/scaling_policy_base.cc
+++ b/packages/fleet/src/scaling_policy_base.cc
@@ -21,6 +21,10 @@
 /** Share of the slots in use at which steps are still fast. */
 constexpr double kSlotUse = 0.5;
 
+/** Reclaimable servers beyond what the loss of a zone requires; they cost a
+ * fraction of the on-demand servers that a loss would call for. */
+constexpr double kReclaimableSurplus = 1.3;
+
 /** Servers kept without any demand, so that the first burst is served. */
 constexpr uint32_t kLeastServers = 4;
 
@@ -30,59 +34,75 @@
       const serving::ScalingProfile& profile,
       uint32_t needed,
       const std::map<std::string, ZoneServers>& zones) const override {
-    ZonePlans plans;
-    uint32_t open_zones = 0;
-    for (const auto& [zone, servers] : zones) {
-      open_zones += servers.reclaimable_to_be_had ? 1 : 0;
-    }
-    // With one zone lost, the others have to carry the demand.
-    const uint32_t share =
-        open_zones < 2 ? needed : (needed + open_zones - 2) / (open_zones - 1);
-    uint32_t total = 0;
-    uint32_t largest = 0;
-    for (const auto& [zone, servers] : zones) {
-      ZonePlan& plan = plans[zone];
-      const uint32_t bounded = std::min(share, profile.max);
+    const uint32_t present = SafeServers(zones);
+    const uint32_t missing = needed > present ? needed - present : 0;
+    ZonePlans plans = PlaceOnDemand(profile, missing, zones);
+    const uint32_t share = ShareOfZone(needed, zones);
+    for (auto& [zone, plan] : plans) {
+      const ZoneServers& servers = zones.at(zone);
+      const uint32_t room = profile.max - std::min(profile.max, plan.on_demand);
+      const uint32_t wanted = std::min(share, room);
       // What runs is kept even where no more is to be had.
       plan.reclaimable = servers.reclaimable_to_be_had
-                             ? bounded
-                             : std::min(bounded, servers.reclaimable);
-      // Servers that are still booting do not carry the loss yet.
-      const uint32_t present = std::min(plan.reclaimable, servers.reclaimable);
-      total += present;
-      largest = std::max(largest, present);
+                             ? wanted
+                             : std::min(wanted, servers.reclaimable);
     }
-    const uint32_t safe = total - largest;
-    this->FillOnDemand(profile, safe < needed ? needed - safe : 0, plans);
     return plans;
   }
 
  private:
-  /** Cheapest zones first, within the bounds of each zone. */
-  static void FillOnDemand(const serving::ScalingProfile& profile,
-                           uint32_t missing,
-                           ZonePlans& plans) {
+  /**
+   * Reclaimable servers that are left when a zone's are taken back. Where
+   * only one zone has any, the notice is the time to order others.
+   */
+  static uint32_t SafeServers(const std::map<std::string, ZoneServers>& zones) {
+    uint32_t total = 0;
+    uint32_t largest = 0;
+    uint32_t zones_with_any = 0;
+    for (const auto& [zone, servers] : zones) {
+      total += servers.reclaimable;
+      largest = std::max(largest, servers.reclaimable);
+      zones_with_any += servers.reclaimable > 0 ? 1 : 0;
+    }
+    return zones_with_any < 2 ? total : total - largest;
+  }
+
+  /** Reclaimable servers of each zone, so that the others carry its loss. */
+  static uint32_t ShareOfZone(uint32_t needed,
+                              const std::map<std::string, ZoneServers>& zones) {
+    const size_t others = std::max<size_t>(2, zones.size()) - 1;
+    return static_cast<uint32_t>(
+        std::ceil(kReclaimableSurplus * needed / static_cast<double>(others)));
+  }
+
+  /**
+   * Places on-demand servers: those that run stay where they are, further
+   * ones go to the cheapest zones in turn.
+   */
+  static ZonePlans PlaceOnDemand(
+      const serving::ScalingProfile& profile,
+      uint32_t missing,
+      const std::map<std::string, ZoneServers>& zones) {
+    ZonePlans plans;
     std::vector<std::pair<double, std::string>> by_price;
-    for (const auto& [zone, plan] : plans) {
+    for (const auto& [zone, servers] : zones) {
+      ZonePlan& plan = plans[zone];
+      const uint32_t least =
+          profile.min - std::min(profile.min, servers.reclaimable);
+      plan.on_demand = std::max(least, std::min(missing, servers.on_demand));
+      missing -= std::min(missing, plan.on_demand);
       const auto price = profile.zone_price.find(zone);
       by_price.emplace_back(
           price == profile.zone_price.end() ? 1.0 : price->second, zone);
     }
     std::sort(by_price.begin(), by_price.end());
-    for (const auto& [price, zone] : by_price) {
-      ZonePlan& plan = plans[zone];
-      if (plan.reclaimable < profile.min) {
-        plan.on_demand = profile.min - plan.reclaimable;
-        missing -= std::min(missing, plan.on_demand);
-      }
-    }
-    // Spread, so that the nodes of each region have servers near.
     bool placed = true;
     while (missing > 0 && placed) {
       placed = false;
       for (const auto& [price, zone] : by_price) {
         ZonePlan& plan = plans[zone];
-        if (missing == 0 || plan.on_demand + plan.reclaimable >= profile.max) {
+        if (missing == 0 ||
+            plan.on_demand + zones.at(zone).reclaimable >= profile.max) {
           continue;
         }
         plan.on_demand += 1;
@@ -90,6 +110,7 @@
         placed = true;
       }
     }
+    return plans;
   }
 };
 
--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -82,7 +82,9 @@
   bool IsOpen() const { return this->socket.is_open(); }
 
   /** Whether no request is being read or answered. */
-  bool IsIdle() const { return !this->busy && this->input.empty(); }
+  bool IsIdle() const {
+    return !this->busy && this->input.empty() && !this->parser;
+  }
 
   /** Closes what exceeds its time-out. */
   void CheckTime(TimePoint now);
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -91,6 +91,9 @@
 
 void ServerConnection::OnRead(const boost::system::error_code& error,
                               size_t size) {
+  if (!this->socket.is_open()) {
+    return;  // Closed while this completion was queued.
+  }
   if (error) {
     if (this->socket.is_open() && this->busy) {
       this->listener.handler.OnClientGone(*this);
--- a/packages/node/include/node/node_settings.h
+++ b/packages/node/include/node/node_settings.h
@@ -19,10 +19,11 @@
 
 /** Bounds that the deployment promises to its clients. */
 struct DeploymentBounds {
-  std::chrono::milliseconds lease{3000};          ///< Least time of a lease.
-  std::chrono::milliseconds grace{8000};          ///< From SIGTERM to SIGKILL.
-  double retry_ratio = 0.2;                       ///< Repeats per request.
-  double retry_extra = 50;                        ///< Repeats besides.
+  std::chrono::milliseconds lease{3000};  ///< Least time of a lease.
+  std::chrono::milliseconds drain{2500};  ///< Leaving servers go on for it.
+  std::chrono::milliseconds grace{8000};  ///< From SIGTERM to SIGKILL.
+  double retry_ratio = 0.2;               ///< Repeats per request.
+  double retry_extra = 50;                ///< Repeats besides.
   std::chrono::milliseconds retry_window{10000};  ///< Window of the two.
   double quota_slack = 0;                         ///< Units over the quota.
   std::chrono::milliseconds usage_window{0};      ///< 0: none is reported.
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "base/time_type.h"
 #include "node/peer_codec.h"
@@ -44,8 +45,8 @@
   fixed.ip = settings.ip;
   fixed.zone = settings.zone;
   fixed.region = settings.region;
-  fixed.incarnation =
-      static_cast<uint64_t>(WallNow().time_since_epoch().count());
+  fixed.incarnation = fleet::MakeIncarnation(
+      WallNow().time_since_epoch().count(), std::random_device{}());
   for (const Endpoint& seed : settings.seeds) {
     fixed.seed_ips.push_back(seed.host);
   }
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -45,6 +45,7 @@
   bounds.retry_window = settings.bounds.retry_window;
   bounds.quota_slack = settings.bounds.quota_slack;
   bounds.usage_window = settings.bounds.usage_window;
+  bounds.drain = settings.bounds.drain;
   bounds.grace = settings.bounds.grace;
   bounds.first_start = settings.first_start;
   return bounds;
--- a/packages/node/src/node_settings.cc
+++ b/packages/node/src/node_settings.cc
@@ -49,6 +49,8 @@
   DeploymentBounds bounds;
   bounds.lease = milliseconds(
       static_cast<int64_t>(reader.Real("leaseMs", {3000, 100, 600000})));
+  bounds.drain = milliseconds(
+      static_cast<int64_t>(reader.Real("drainMs", {2500, 0, 600000})));
   bounds.grace = ReadSeconds(reader, "graceS", {8, 0.5, 3600});
   bounds.retry_ratio = reader.Real("retryRatio", {0.2, 0, 10});
   bounds.retry_extra = reader.Real("retryExtra", {50, 0, 1e9});
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -5,9 +5,7 @@
 #include "node/peer_codec.h"
 
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
-#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <sstream>
@@ -18,8 +16,7 @@
 template <class Archive>
 void serialize(Archive& archive, BackendServer& server) {
   archive(server.id, server.service, server.address, server.zone, server.slots,
-          server.started, server.draining, server.reclaimable,
-          server.leaves_in);
+          server.started, server.draining, server.reclaimable);
 }
 
 }  // namespace boragewharf::serving
--- a/packages/relay/include/relay/request_wire_base.h
+++ b/packages/relay/include/relay/request_wire_base.h
@@ -52,6 +52,12 @@
       std::string_view attempt_id,
       std::optional<serving::Milliseconds> retry_after) const = 0;
 
+  /** Path at which a server reports on itself. */
+  virtual std::string ReportTarget() const = 0;
+
+  /** Decodes such a report; unreadable fields count as absent. */
+  virtual serving::ServerReport DecodeReport(std::string_view body) const = 0;
+
   /** Method, target, fields and body of a move call. */
   virtual httpio::InboundRequest EncodeMove(const MoveCall& call) const = 0;
 
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -26,7 +26,8 @@
   serving::Distance distance = serving::Distance::kSameZone;
   bool listed = true;  ///< False once the platform no longer lists it.
   TimePoint unlisted_at;
-  std::optional<TimePoint> leaves_at;  ///< End of the notice.
+  bool asked_when = false;             ///< It has been asked for the notice.
+  std::optional<TimePoint> leaves_at;  ///< End of the notice, as assumed.
   serving::ServerLoad own;             ///< Load from this node.
   serving::ServerLoad peers;           ///< Load from the others, as reported.
   double failure_rate = 0;             ///< Smoothed share of failures.
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -35,6 +35,7 @@
   Duration retry_window{};   ///< Length of that window.
   double quota_slack = 0;    ///< Quota units allowed over the limit.
   Duration usage_window{};   ///< Length of a usage window.
+  Duration drain{};          ///< Least time that leaving servers go on.
   Duration grace{};          ///< Time between the signal to stop and kill.
   bool first_start = true;   ///< The whole deployment starts for the first
                              ///< time, so no quota has been used.
@@ -98,6 +99,9 @@
  private:
   friend class Exchange;
 
+  /** Asks servers that leave with requests of ours for the time left. */
+  void AskLeavingServers(TimePoint now);
+
   /** Counts a request that began to run. */
   void CountRun(const std::string& customer, TimePoint now);
 
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -87,12 +87,8 @@
       pooled = std::make_shared<PooledServer>();
       pooled->distance = this->DistanceTo(listed.zone);
     }
-    const bool notice_is_new = listed.leaves_in && !pooled->leaves_at;
     pooled->server = listed;
     pooled->listed = true;
-    if (notice_is_new) {
-      pooled->leaves_at = now + *listed.leaves_in;
-    }
   }
   std::erase_if(this->servers, [&](const auto& entry) {
     const PooledServer& pooled = *entry.second;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -18,11 +18,18 @@
 /** Fill of the quotas of a restarted node; their use is unknown. */
 constexpr double kRestartFill = 0.3;
 
+/** Notice assumed of a server that the cloud takes back, until it tells. */
+constexpr std::chrono::milliseconds kAssumedNotice(2000);
+
+/** Time for asking a server that leaves. */
+constexpr std::chrono::milliseconds kReportTimeout(400);
+
 /** Usage windows kept; older ones have been reported. */
 constexpr int64_t kKeptWindows = 4;
 
-/** Weight of the newest second in the smoothed demand. */
-constexpr double kDemandWeight = 0.5;
+/** Weight of the newest period in the smoothed demand: arrivals come in
+ * clumps, and a server takes seconds to boot. */
+constexpr double kDemandWeight = 0.2;
 
 /** Period over which demand is measured. */
 constexpr std::chrono::milliseconds kDemandPeriod(500);
@@ -61,7 +68,45 @@
     const std::shared_ptr<const serving::ServerSet>& next) {
   this->servers_known = true;
   this->servers_revision = next->revision;
-  this->pool.Update(*next, BootClock::now());
+  const TimePoint now = BootClock::now();
+  this->pool.Update(*next, now);
+  this->AskLeavingServers(now);
+}
+
+void TrafficCore::AskLeavingServers(TimePoint now) {
+  for (const auto& [id, pooled] : this->pool.All()) {
+    const bool leaving_server = !pooled->listed || pooled->server.draining;
+    if (!leaving_server || pooled->asked_when || pooled->own.running == 0) {
+      continue;
+    }
+    pooled->asked_when = true;
+    pooled->leaves_at =
+        now + (pooled->server.reclaimable ? Duration(kAssumedNotice)
+                                          : this->bounds.drain);
+    if (!pooled->moves) {
+      pooled->moves = std::make_unique<httpio::HttpChannel>(
+          this->loop, pooled->server.address);
+    }
+    httpio::HttpCall call;
+    call.method = "GET";
+    call.target = this->wire.ReportTarget();
+    call.timeout = kReportTimeout;
+    pooled->moves->Call(std::move(call), [this, pooled](
+                                             const httpio::HttpResult& result) {
+      if (!result.head || result.head->status != 200) {
+        return;  // The assumed notice stands.
+      }
+      const auto report = this->wire.DecodeReport(result.body);
+      if (report.leaves_in) {
+        pooled->leaves_at = BootClock::now() + *report.leaves_in;
+      }
+      this->log.Write(
+          EventLevel::kInfo, "server_notice",
+          {{"server", pooled->server.id},
+           {"running", pooled->own.running},
+           {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
+    });
+  }
 }
 
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -77,6 +77,12 @@
   std::optional<MoveSource> move;         ///< Continue from a moved copy.
 };
 
+/** What a server says of itself on request. */
+struct ServerReport {
+  bool draining = false;
+  std::optional<Milliseconds> leaves_in;  ///< Until it ends, if known.
+};
+
 /** What the head of a server's answer says. */
 struct ResponseFacts {
   uint32_t status = 0;
--- a/packages/serving/include/serving/server_type.h
+++ b/packages/serving/include/serving/server_type.h
@@ -4,9 +4,7 @@
  */
 #pragma once
 
-#include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,7 +23,6 @@
   uint64_t started = 0;      ///< Unix milliseconds of its start.
   bool draining = false;     ///< Leaving; gets no new work.
   bool reclaimable = false;  ///< The cloud may take it back.
-  std::optional<std::chrono::milliseconds> leaves_in;  ///< Notice left.
 
   bool operator==(const BackendServer&) const = default;
 };
