Follow the store from three nodes and send slimmer messages

Change: the three nodes of lowest rank follow the store, the others fetch changes from them; loads stay in the region, usage and demand go to nodes that may hold the duties; node state is fetched as changes since a revision.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -65,6 +66,13 @@
   std::optional<serving::BackendServer> server;
 };
 
+/** Changes since a revision that another node told. */
+struct ServersPatched {
+  uint64_t base = 0;      ///< Revision that the changes apply to.
+  uint64_t revision = 0;  ///< Revision after them.
+  std::vector<ServerChanged> changes;
+};
+
 /** The store answers, or has stopped answering. */
 struct StoreReachable {
   bool reachable = true;
@@ -121,6 +129,7 @@
 using Event = std::variant<ConfigRead,
                            ServersRead,
                            ServerChanged,
+                           ServersPatched,
                            StoreReachable,
                            PeerHeard,
                            TrafficReported,
@@ -155,9 +164,16 @@
   serving::PeerMessage message;
 };
 
-/** Ask a node for its configuration and servers; ends with FetchEnded. */
+/** Ask a node for what is newer than the own state; ends with FetchEnded. */
 struct FetchState {
   std::string ip;
+  uint64_t config_revision = 0;  ///< Own revisions.
+  uint64_t servers_revision = 0;
+};
+
+/** Begin or stop to learn changes from the store itself. */
+struct FollowStore {
+  bool follow = true;
 };
 
 /** A call for the duty lease; ends with a LeaseEvent. */
@@ -204,6 +220,7 @@
                             PublishPeers,
                             SendToPeers,
                             FetchState,
+                            FollowStore,
                             LeaseCall,
                             FixUsage,
                             DropUsage,
@@ -253,7 +270,11 @@
   std::map<std::string, serving::BackendServer> servers;
   uint64_t servers_revision = 0;
   bool servers_known = false;
+  std::deque<ServerChanged> changes;  ///< Recent ones, for other nodes.
+  uint64_t changes_base = 0;          ///< All since this revision are kept.
   std::map<std::string, TimePoint> missing;  ///< Gone after an outage, since.
+  bool following = true;                     ///< Learns from the store itself.
+  std::optional<TimePoint> enough_followers_since;
   bool store_reachable = false;
   std::optional<TimePoint> store_regained;
   bool fetching = false;
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -64,7 +64,7 @@
   std::vector<std::string> Targets() const;
 
   /** Addresses heard recently, to tell others; at most @p bound. */
-  std::vector<std::string> RecentIps(size_t bound, TimePoint now) const;
+  std::vector<uint32_t> RecentIps(size_t bound, TimePoint now) const;
 
   /** What the traffic side needs; consumes the admitted quota units. */
   serving::PeerSummary TakeSummary(Duration period, TimePoint now);
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -29,6 +29,12 @@
    */
   virtual void Follow(EventSink sink) = 0;
 
+  /**
+   * Stops or resumes the calls that Follow() makes.
+   * @pre Follow() was called.
+   */
+  virtual void SetFollowing(bool follow) = 0;
+
   /** Executes a lease call; yields one LeaseEvent. */
   virtual void CallLease(const lease::LeaseEffect& call, EventSink sink) = 0;
 
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -63,11 +63,20 @@
              .count();
 }
 
-/** The candidates are the live nodes with the lowest addresses. */
+std::optional<FencingNumber> DutyNumber(const FleetState& state,
+                                        TimePoint now) {
+  return lease::MayAct(state.lease, kDutyLease, lease::ServerFencing::kIgnored,
+                       now);
+}
+
+/** Candidates are the live nodes with the lowest addresses, and the holder. */
 bool IsCandidate(const FleetState& state, TimePoint now) {
   if (state.leaving || !state.config) {
     return false;
   }
+  if (DutyNumber(state, now)) {
+    return true;
+  }
   if (state.lost_duty && now - *state.lost_duty < kAbstain) {
     return false;
   }
@@ -78,12 +87,6 @@
   return before < kCandidates;
 }
 
-std::optional<FencingNumber> DutyNumber(const FleetState& state,
-                                        TimePoint now) {
-  return lease::MayAct(state.lease, kDutyLease, lease::ServerFencing::kIgnored,
-                       now);
-}
-
 void RunLease(FleetState& state,
               const lease::LeaseEvent& event,
               TimePoint now,
@@ -309,6 +312,25 @@
 
 }  // namespace
 
+bool HoldsDuties(const FleetState& state, TimePoint now) {
+  return DutyNumber(state, now).has_value();
+}
+
+std::set<std::string> DutyNodes(const FleetState& state, TimePoint now) {
+  std::set<std::string> nodes;
+  std::vector<std::string> ready;
+  for (const PeerEntry* entry : state.peers.Ready(MessagePeriod(state), now)) {
+    ready.push_back(entry->status.ip);
+    if (entry->status.holds_duties) {
+      nodes.insert(entry->status.ip);
+    }
+  }
+  std::sort(ready.begin(), ready.end());
+  ready.resize(std::min(ready.size(), kCandidates));
+  nodes.insert(ready.begin(), ready.end());
+  return nodes;
+}
+
 void ReduceLease(FleetState& state,
                  const lease::LeaseEvent& event,
                  TimePoint now,
--- a/packages/fleet/src/duty_cmd.h
+++ b/packages/fleet/src/duty_cmd.h
@@ -4,12 +4,20 @@
  */
 #pragma once
 
+#include <set>
+#include <string>
 #include <vector>
 
 #include "fleet/fleet_type.h"
 
 namespace boragewharf::fleet {
 
+/** Whether this node holds the lease of the duties. */
+bool HoldsDuties(const FleetState& state, TimePoint now);
+
+/** The other nodes that hold the duties or may take them over. */
+std::set<std::string> DutyNodes(const FleetState& state, TimePoint now);
+
 /** Applies a result for the lease. */
 void ReduceLease(FleetState& state,
                  const lease::LeaseEvent& event,
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 
 #include "duty_cmd.h"
 #include "lease/lease_cmd.h"
@@ -22,12 +23,23 @@
 constexpr milliseconds kPeriodPerNode(12);
 
 /** Addresses told in a datagram, so that it fits one packet. */
-constexpr size_t kMaxKnownIps = 24;
+constexpr size_t kMaxKnownIps = 16;
 
 /** Others may be ahead for this long before their state is fetched: the own
  * watch usually delivers it meanwhile. */
 constexpr milliseconds kFetchDelay(250);
 
+/** Nodes that learn changes from the store; the others learn from them. Each
+ * change costs each of them a call. */
+constexpr size_t kStoreFollowers = 3;
+
+/** A node stops following the store after this many others have done so for
+ * this time. */
+constexpr std::chrono::seconds kFollowerSettle(3);
+
+/** Changes of servers kept for nodes that are behind. */
+constexpr size_t kKeptChanges = 256;
+
 /** Time between fetches. */
 constexpr milliseconds kFetchPeriod(400);
 
@@ -90,6 +102,9 @@
 
 /** Whether a server that is no longer listed may only have lapsed. */
 bool MayHaveLapsed(const FleetState& state, TimePoint now) {
+  if (!state.following) {
+    return false;  // The nodes that follow the store have waited already.
+  }
   return !state.store_reachable ||
          (state.store_regained && now - *state.store_regained < kReturnTime);
 }
@@ -137,6 +152,8 @@
     return;
   }
   state.servers_revision = read.revision;
+  state.changes.clear();
+  state.changes_base = read.revision;
   std::map<std::string, bool> listed;
   for (const serving::BackendServer& server : read.servers) {
     listed[server.id] = true;
@@ -154,6 +171,37 @@
   PublishServerList(state, now, effects);
 }
 
+void KeepChange(FleetState& state, const ServerChanged& change) {
+  state.changes.push_back(change);
+  if (state.changes.size() > kKeptChanges) {
+    state.changes_base = state.changes.front().revision;
+    state.changes.pop_front();
+  }
+}
+
+void TakeServersPatch(FleetState& state,
+                      const ServersPatched& patch,
+                      TimePoint now,
+                      std::vector<Effect>& effects) {
+  if (!state.servers_known || patch.base > state.servers_revision ||
+      patch.revision <= state.servers_revision) {
+    return;
+  }
+  for (const ServerChanged& change : patch.changes) {
+    if (change.revision <= state.servers_revision) {
+      continue;
+    }
+    KeepChange(state, change);
+    if (change.server) {
+      AddServer(state, *change.server, effects);
+    } else {
+      RemoveServer(state, change.id, now, effects);
+    }
+  }
+  state.servers_revision = patch.revision;
+  PublishServerList(state, now, effects);
+}
+
 void TakeServerChange(FleetState& state,
                       const ServerChanged& change,
                       TimePoint now,
@@ -162,6 +210,7 @@
     return;
   }
   state.servers_revision = change.revision;
+  KeepChange(state, change);
   if (change.server) {
     AddServer(state, *change.server, effects);
   } else {
@@ -186,6 +235,9 @@
     effects.emplace_back(
         LogChange{"server_gone", entry.first, state.servers_revision});
     changed = true;
+    // Other nodes have to learn of it, though the store tells nothing new.
+    state.servers_revision += 1;
+    KeepChange(state, {state.servers_revision, entry.first, std::nullopt});
     return true;
   });
   if (changed) {
@@ -232,17 +284,9 @@
   }
 }
 
-void SendMessage(FleetState& state,
-                 TimePoint now,
-                 std::vector<Effect>& effects) {
-  if (now < state.next_message) {
-    return;
-  }
-  state.next_message = now + MessagePeriod(state);
-  state.peers.Expire(now);
-  SendToPeers send;
-  send.ips = state.peers.Targets();
-  serving::PeerMessage& message = send.message;
+/** What all nodes are told. */
+serving::PeerMessage MakeMessage(FleetState& state, TimePoint now) {
+  serving::PeerMessage message;
   message.format = serving::kPeerFormat;
   message.status.name = state.settings.node_name;
   message.status.ip = state.settings.ip;
@@ -252,19 +296,93 @@
   message.status.sequence = ++state.sequence;
   message.status.ready = IsReady(state);
   message.status.leaving = state.leaving;
+  message.status.follows_store = state.following && state.store_reachable;
+  message.status.holds_duties = HoldsDuties(state, now);
   message.status.config_revision = state.config_revision;
   message.status.servers_revision = state.servers_revision;
   message.status.wall_ms = state.wall_offset_ms.value_or(0) + BootMs(now);
-  message.report = state.report;
+  message.report.admitted = state.report.admitted;
+  message.report.crashes = state.report.crashes;
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
-  effects.emplace_back(std::move(send));
+  return message;
+}
 
+/**
+ * Tells the other nodes. Loads are of use in the own region only, usage and
+ * demand to the nodes that may hold the duties: bytes between regions are
+ * dear.
+ */
+void SendMessage(FleetState& state,
+                 TimePoint now,
+                 std::vector<Effect>& effects) {
+  if (now < state.next_message) {
+    return;
+  }
+  state.next_message = now + MessagePeriod(state);
+  state.peers.Expire(now);
+  const serving::PeerMessage base = MakeMessage(state, now);
+  std::map<std::pair<bool, bool>, std::vector<std::string>> groups;
+  const std::set<std::string> duty_nodes = DutyNodes(state, now);
+  for (const std::string& ip : state.peers.Targets()) {
+    const auto known = state.peers.All().find(ip);
+    const bool near = known == state.peers.All().end() ||
+                      known->second.status.region == state.settings.region;
+    groups[{near, duty_nodes.contains(ip)}].push_back(ip);
+  }
+  for (auto& [group, ips] : groups) {
+    SendToPeers send{std::move(ips), base};
+    if (group.first) {
+      send.message.report.loads = state.report.loads;
+    }
+    if (group.second) {
+      send.message.report.usage = state.report.usage;
+      send.message.report.demand = state.report.demand;
+    }
+    effects.emplace_back(std::move(send));
+  }
   serving::PeerSummary summary =
       state.peers.TakeSummary(MessagePeriod(state), now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
   effects.emplace_back(PublishPeers{std::move(summary)});
 }
 
+/** A change that the store told is passed on without delay. */
+void HastenMessage(FleetState& state, TimePoint now) {
+  if (state.following) {
+    state.next_message = now;
+  }
+}
+
+/**
+ * Lets the nodes with the lowest ranks follow the store. A node that hears of
+ * too few others which do so follows it itself.
+ */
+void DecideFollowing(FleetState& state,
+                     TimePoint now,
+                     std::vector<Effect>& effects) {
+  const uint32_t own_rank = serving::HashName(state.settings.ip);
+  size_t others = 0;
+  for (const auto& [ip, entry] : state.peers.All()) {
+    const bool follows = entry.status.follows_store && !entry.status.leaving &&
+                         !IsSilent(entry.heard, MessagePeriod(state), now);
+    others += follows && serving::HashName(ip) < own_rank ? 1 : 0;
+  }
+  if (others < kStoreFollowers) {
+    state.enough_followers_since.reset();
+  } else if (!state.enough_followers_since) {
+    state.enough_followers_since = now;
+  }
+  const bool settled = state.enough_followers_since &&
+                       now - *state.enough_followers_since >= kFollowerSettle;
+  const bool follow = !settled || !state.config || !state.servers_known;
+  if (follow != state.following) {
+    state.following = follow;
+    effects.emplace_back(FollowStore{follow});
+    effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
+                                   state.servers_revision});
+  }
+}
+
 /** Fetches newer state from another node, where the own watch lags. */
 void CatchUp(FleetState& state, TimePoint now, std::vector<Effect>& effects) {
   const PeerEntry* newest = nullptr;
@@ -286,14 +404,16 @@
   if (!state.behind_since) {
     state.behind_since = now;
   }
-  const bool due = now - *state.behind_since >= kFetchDelay ||
+  const bool due = !state.following ||
+                   now - *state.behind_since >= kFetchDelay ||
                    !state.servers_known || !state.config;
   if (!due || state.fetching || now < state.next_fetch) {
     return;
   }
   state.fetching = true;
   state.next_fetch = now + kFetchPeriod;
-  effects.emplace_back(FetchState{newest->status.ip});
+  effects.emplace_back(FetchState{newest->status.ip, state.config_revision,
+                                  state.servers_revision});
 }
 
 }  // namespace
@@ -352,12 +472,19 @@
             std::vector<Effect>& effects) {
   std::visit(
       Overloaded{
-          [&](const ConfigRead& read) { TakeConfig(state, read, effects); },
+          [&](const ConfigRead& read) {
+            TakeConfig(state, read, effects);
+            HastenMessage(state, now);
+          },
           [&](const ServersRead& read) {
             TakeServers(state, read, now, effects);
           },
           [&](const ServerChanged& change) {
             TakeServerChange(state, change, now, effects);
+            HastenMessage(state, now);
+          },
+          [&](const ServersPatched& patch) {
+            TakeServersPatch(state, patch, now, effects);
           },
           [&](const StoreReachable& store) {
             TakeStoreState(state, store.reachable, now, effects);
@@ -392,6 +519,7 @@
           [&](const Tick& tick) {
             FollowClock(state, tick.clock_wall_ms, now);
             ExpireMissing(state, now, effects);
+            DecideFollowing(state, now, effects);
             CatchUp(state, now, effects);
             SendMessage(state, now, effects);
             AdvanceDuties(state, now, effects);
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -73,7 +73,11 @@
   if (message.format != serving::kPeerFormat || status.ip == this->self_ip) {
     return false;
   }
-  this->AddSeeds(message.known_ips);
+  std::vector<std::string> told;
+  for (const uint32_t ip : message.known_ips) {
+    told.push_back(serving::UnpackIp(ip));
+  }
+  this->AddSeeds(told);
   const auto known = this->peers.find(status.ip);
   const bool same_process =
       known != this->peers.end() &&
@@ -119,12 +123,11 @@
   return targets;
 }
 
-std::vector<std::string> PeerTable::RecentIps(size_t bound,
-                                              TimePoint now) const {
-  std::vector<std::string> recent;
+std::vector<uint32_t> PeerTable::RecentIps(size_t bound, TimePoint now) const {
+  std::vector<uint32_t> recent;
   for (const auto& [ip, entry] : this->peers) {
     if (now - entry.heard < kForgetAfter / 2) {
-      recent.push_back(ip);
+      recent.push_back(serving::PackIp(ip));
     }
   }
   if (recent.size() > bound) {
--- a/packages/node/include/node/peer_codec.h
+++ b/packages/node/include/node/peer_codec.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fleet/fleet_type.h"
 #include "serving/peer_type.h"
 #include "serving/server_type.h"
 
@@ -17,12 +18,23 @@
 /** Configuration and servers as one node tells another. */
 struct PeerState {
   uint64_t config_revision = 0;
-  std::string config_text;  ///< As in the store.
+  std::string config_text;  ///< As in the store; empty if not asked for.
   uint64_t servers_revision = 0;
   bool servers_known = false;
-  std::vector<serving::BackendServer> servers;
+  bool complete = true;  ///< All servers; otherwise changes since a base.
+  uint64_t base = 0;
+  std::vector<serving::BackendServer> servers;  ///< If complete.
+  std::vector<fleet::ServerChanged> changes;    ///< Otherwise.
 };
 
+/**
+ * What a node tells one that has the given revisions.
+ * @note Not thread-safe with the reducer.
+ */
+PeerState MakePeerState(const fleet::FleetState& state,
+                        uint64_t config_revision,
+                        uint64_t servers_revision);
+
 /** Encodes a datagram. @note Thread-safe. */
 std::string EncodePeerMessage(const serving::PeerMessage& message);
 
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -5,6 +5,7 @@
 #include "node/control_loop_base.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -85,6 +86,15 @@
   return {};
 }
 
+/** Whole number in a query, 0 if absent or unreadable. */
+uint64_t QueryNumber(std::string_view target, std::string_view name) {
+  const std::string_view text = QueryValue(target, name);
+  uint64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  return parsed.ec == std::errc() ? number : 0;
+}
+
 std::string_view PathOf(const httpio::InboundRequest& request) {
   const std::string_view target = request.target;
   return target.substr(0, target.find('?'));
@@ -175,6 +185,9 @@
           },
           [&](const fleet::SendToPeers& send) { this->Send(send); },
           [&](const fleet::FetchState& fetch) { this->Fetch(fetch); },
+          [&](const fleet::FollowStore& follow) {
+            this->platform.SetFollowing(follow.follow);
+          },
           [&](const fleet::LeaseCall& call) {
             this->platform.CallLease(call.call, sink);
           },
@@ -247,19 +260,26 @@
   }
   httpio::HttpCall call;
   call.method = "GET";
-  call.target = kStatePath;
+  call.target = std::string(kStatePath) +
+                "?config=" + std::to_string(fetch.config_revision) +
+                "&servers=" + std::to_string(fetch.servers_revision);
   call.timeout = kFetchTimeout;
   channel->Call(std::move(call), [this](const httpio::HttpResult& result) {
     const auto fetched = result.head && result.head->status == 200
                              ? DecodePeerState(result.body)
                              : std::nullopt;
     if (fetched) {
-      auto config = this->platform.DecodeConfig(fetched->config_text);
+      auto config = fetched->config_text.empty()
+                        ? nullptr
+                        : this->platform.DecodeConfig(fetched->config_text);
       if (config) {
         this->Handle(fleet::ConfigRead{
             fetched->config_revision, std::move(config), fetched->config_text});
       }
-      if (fetched->servers_known) {
+      if (fetched->servers_known && !fetched->complete) {
+        this->Handle(fleet::ServersPatched{
+            fetched->base, fetched->servers_revision, fetched->changes});
+      } else if (fetched->servers_known) {
         this->Handle(fleet::ServersRead{fetched->servers_revision,
                                         fetched->servers, true});
       }
@@ -317,14 +337,9 @@
 
 SimpleAnswer ControlLoop::AnswerControl(const httpio::InboundRequest& request) {
   if (PathOf(request) == kStatePath) {
-    PeerState told;
-    told.config_revision = this->state.config_revision;
-    told.config_text = this->state.config_text;
-    told.servers_revision = this->state.servers_revision;
-    told.servers_known = this->state.servers_known;
-    for (const auto& [id, server] : this->state.servers) {
-      told.servers.push_back(server);
-    }
+    const PeerState told =
+        MakePeerState(this->state, QueryNumber(request.target, "config"),
+                      QueryNumber(request.target, "servers"));
     return {200, "application/octet-stream", EncodePeerState(told)};
   }
   return {404, "", ""};
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -6,6 +6,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <sstream>
@@ -21,13 +22,24 @@
 
 }  // namespace boragewharf::serving
 
+namespace boragewharf::fleet {
+
+/** Archives a change; found by argument-dependent look-up. */
+template <class Archive>
+void serialize(Archive& archive, ServerChanged& change) {
+  archive(change.revision, change.id, change.server);
+}
+
+}  // namespace boragewharf::fleet
+
 namespace boragewharf::node {
 
 /** Archives the state of a node. */
 template <class Archive>
 void serialize(Archive& archive, PeerState& state) {
   archive(state.config_revision, state.config_text, state.servers_revision,
-          state.servers_known, state.servers);
+          state.servers_known, state.complete, state.base, state.servers,
+          state.changes);
 }
 
 namespace {
@@ -66,6 +78,33 @@
   return Decode<serving::PeerMessage>(bytes);
 }
 
+PeerState MakePeerState(const fleet::FleetState& state,
+                        uint64_t config_revision,
+                        uint64_t servers_revision) {
+  PeerState told;
+  told.config_revision = state.config_revision;
+  if (config_revision < state.config_revision) {
+    told.config_text = state.config_text;
+  }
+  told.servers_revision = state.servers_revision;
+  told.servers_known = state.servers_known;
+  told.base = servers_revision;
+  told.complete =
+      servers_revision == 0 || servers_revision < state.changes_base;
+  if (told.complete) {
+    for (const auto& [id, server] : state.servers) {
+      told.servers.push_back(server);
+    }
+    return told;
+  }
+  for (const fleet::ServerChanged& change : state.changes) {
+    if (change.revision > servers_revision) {
+      told.changes.push_back(change);
+    }
+  }
+  return told;
+}
+
 std::string EncodePeerState(const PeerState& state) {
   return Encode(state);
 }
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -69,6 +69,8 @@
   uint64_t sequence = 0;          ///< Rises with each message.
   bool ready = false;             ///< Serves requests.
   bool leaving = false;           ///< Received the signal to stop.
+  bool follows_store = false;     ///< Learns changes from the store itself.
+  bool holds_duties = false;      ///< Holds the lease of the duties.
   uint64_t config_revision = 0;   ///< Store revision of its configuration.
   uint64_t servers_revision = 0;  ///< Store revision of its server list.
   int64_t wall_ms = 0;            ///< Its estimate of the time of day.
@@ -76,8 +78,9 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->name, this->ip, this->zone, this->region, this->incarnation,
-            this->sequence, this->ready, this->leaving, this->config_revision,
-            this->servers_revision, this->wall_ms);
+            this->sequence, this->ready, this->leaving, this->follows_store,
+            this->holds_duties, this->config_revision, this->servers_revision,
+            this->wall_ms);
   }
 };
 
@@ -86,7 +89,7 @@
   uint32_t format = 0;  ///< kPeerFormat.
   NodeStatus status;
   TrafficReport report;
-  std::vector<std::string> known_ips;  ///< Other nodes heard recently.
+  std::vector<uint32_t> known_ips;  ///< Other nodes heard recently.
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -97,6 +100,12 @@
 /** Messages of another format are dropped. */
 inline constexpr uint32_t kPeerFormat = 1;
 
+/** IPv4 number of a dotted address, or 0. @note Thread-safe. */
+uint32_t PackIp(const std::string& ip);
+
+/** Inverse of PackIp(). @note Thread-safe. */
+std::string UnpackIp(uint32_t ip);
+
 /** What the traffic side needs to know of the other nodes. */
 struct PeerSummary {
   uint32_t nodes = 1;          ///< Known nodes, this one included.
