--- /dev/null
+++ b/packages/eventlog/tests/event_log_test.cc
@@ -0,0 +1,83 @@
+/**
+ * @file event_log_test.cc
+ * Structured lines: form, bounded volume, and a reader that stalls.
+ */
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "base/scope_guard.h"
+#include "eventlog/event_log_base.h"
+
+namespace boragewharf {
+namespace {
+
+TEST(RenderEventTest, LineIsOneJsonObject) {
+  const std::string line =
+      RenderEvent("node-1", 42, EventLevel::kWarning, "request",
+                  {{"id", "a\"b\n"}, {"ms", 7}, {"late", true}, {"x", 0.5}});
+  EXPECT_EQ(line.find('\n'), std::string::npos);
+  const auto json = nlohmann::json::parse(line);
+  EXPECT_EQ(json["id"], "a\"b\n");
+  EXPECT_EQ(json["ms"], 7);
+  EXPECT_EQ(json["late"], true);
+  EXPECT_EQ(json["level"], "warning");
+}
+
+TEST(RenderEventTest, InvalidBytesDoNotThrow) {
+  EXPECT_NO_THROW(RenderEvent("n", 0, EventLevel::kInfo, "e",
+                              {{"id", std::string("\xff\xfe")}}));
+}
+
+// Guards against a log that stops the traffic: the reader of standard output
+// never reads.
+TEST(StdoutEventLogTest, StalledReaderBlocksNothingAndLinesAreCounted) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  const UniqueFd reader(ends[0]);
+  const UniqueFd writer(ends[1]);
+  const UniqueFd original(dup(STDOUT_FILENO));
+  fflush(stdout);
+  dup2(writer.Get(), STDOUT_FILENO);
+  CounterRegistry counters;
+  const auto start = std::chrono::steady_clock::now();
+  auto log = MakeStdoutEventLog("node-1", 100000, counters);
+  const std::string filler(200, 'x');
+  for (int i = 0; i < 20000; ++i) {
+    log->Write(EventLevel::kInfo, "request", {{"id", filler}});
+  }
+  const auto took = std::chrono::steady_clock::now() - start;
+  const int64_t dropped = counters.Get("log_lines_dropped_total").Get();
+  // Lets the writing thread end.
+  std::thread drain([&] {
+    std::array<char, 65536> bytes{};
+    while (read(reader.Get(), bytes.data(), bytes.size()) > 0) {
+    }
+  });
+  log.reset();
+  fflush(stdout);
+  dup2(original.Get(), STDOUT_FILENO);
+  { UniqueFd closing(dup(writer.Get())); }
+  close(writer.Get());
+  drain.join();
+  EXPECT_LT(took, std::chrono::seconds(5));
+  EXPECT_GT(dropped, 10000);
+}
+
+TEST(StdoutEventLogTest, EachEventNameHasItsOwnBound) {
+  CounterRegistry counters;
+  auto log = MakeStdoutEventLog("node-1", 2, counters);
+  for (int i = 0; i < 10; ++i) {
+    log->Write(EventLevel::kInfo, "request", {{"n", i}});
+  }
+  log->Write(EventLevel::kInfo, "start", {});
+  EXPECT_EQ(counters.Get("log_lines_total").Get(), 3);
+  EXPECT_EQ(counters.Get("log_lines_dropped_total").Get(), 8);
+}
+
+}  // namespace
+}  // namespace boragewharf
--- /dev/null
+++ b/packages/fleet/tests/scaling_test.cc
@@ -0,0 +1,115 @@
+/**
+ * @file scaling_test.cc
+ * Numbers of servers under reclaims of whole zones.
+ */
+#include <gtest/gtest.h>
+
+#include "fleet/scaling_policy_base.h"
+
+namespace boragewharf::fleet {
+namespace {
+
+class ScalingTest : public testing::Test {
+ protected:
+  ScalingTest() {
+    this->profile.min = 1;
+    this->profile.max = 8;
+    this->profile.zone_price = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}};
+    for (const auto& [zone, price] : this->profile.zone_price) {
+      this->zones[zone] = ZoneServers{};
+    }
+  }
+
+  ZonePlans Plan(uint32_t needed) const {
+    return this->policy->Plan(this->profile, needed, this->zones);
+  }
+
+  static uint32_t OnDemand(const ZonePlans& plans) {
+    uint32_t total = 0;
+    for (const auto& [zone, plan] : plans) {
+      total += plan.on_demand;
+    }
+    return total;
+  }
+
+  serving::ScalingProfile profile;
+  std::map<std::string, ZoneServers> zones;
+  std::unique_ptr<ScalingPolicy> policy = MakeZoneLossPolicy();
+};
+
+TEST_F(ScalingTest, NeedFollowsPromptsAndSlots) {
+  serving::Service service;
+  service.engine = serving::EngineProfile{};
+  service.engine->slots = 10;
+  EXPECT_EQ(ServersNeeded(service, {}), ServersNeeded(service, {1, 1}));
+  EXPECT_GT(ServersNeeded(service, {1000000, 0}),
+            ServersNeeded(service, {300000, 0}));
+  EXPECT_GE(ServersNeeded(service, {0, 100}), 10U);
+}
+
+// Pattern: cheap servers are enough and spread. Guards against paying for
+// on-demand servers without a reason.
+TEST_F(ScalingTest, ReclaimableServersInAllZonesNeedNoOthers) {
+  for (auto& [zone, servers] : this->zones) {
+    servers.reclaimable = 4;
+    servers.on_demand = 4;
+  }
+  const ZonePlans plans = this->Plan(6);
+  EXPECT_EQ(OnDemand(plans), 0U);
+  for (const auto& [zone, plan] : plans) {
+    EXPECT_GE(plan.reclaimable, 3U);
+  }
+}
+
+// Pattern: servers that were ordered are still booting. Guards against giving
+// up the old ones before the new ones serve.
+TEST_F(ScalingTest, OnDemandServersStayUntilReclaimableOnesServe) {
+  for (auto& [zone, servers] : this->zones) {
+    servers.on_demand = 4;
+  }
+  // One more than needed, because each zone keeps its minimum of one.
+  EXPECT_EQ(OnDemand(this->Plan(8)), 9U);
+}
+
+// Pattern: reclaim wave. Two zones are taken back one after the other and
+// nothing more is to be had: what is missing is ordered on demand, and the
+// zones' room is not kept for servers that cannot be had.
+TEST_F(ScalingTest, ReclaimOfTwoZonesIsFilledOnDemand) {
+  this->zones["a"] = ZoneServers{0, 0, false};
+  this->zones["b"] = ZoneServers{0, 4, false};
+  this->zones["c"] = ZoneServers{0, 4, false};
+  EXPECT_EQ(OnDemand(this->Plan(6)), 2U) << "ready for the next loss";
+  this->zones["b"] = ZoneServers{1, 0, false};
+  const ZonePlans plans = this->Plan(6);
+  EXPECT_EQ(OnDemand(plans), 2U);
+  EXPECT_GE(plans.at("b").on_demand, 1U) << "what runs stays in place";
+  EXPECT_EQ(plans.at("c").reclaimable, 4U) << "what runs is kept";
+}
+
+// Pattern: refusals end. Guards against hoped-for servers that take the room
+// of on-demand ones, so that both are ordered and given up in turn.
+TEST_F(ScalingTest, HopedForServersDoNotDisplaceOnDemandOnes) {
+  this->zones["a"] = ZoneServers{4, 0, true};
+  this->zones["b"] = ZoneServers{4, 0, true};
+  this->zones["c"] = ZoneServers{4, 0, true};
+  const ZonePlans plans = this->Plan(12);
+  EXPECT_EQ(OnDemand(plans), 12U);
+  for (const auto& [zone, plan] : plans) {
+    EXPECT_LE(plan.on_demand + plan.reclaimable, this->profile.max);
+  }
+}
+
+TEST_F(ScalingTest, BoundsHoldForAnyNeed) {
+  this->zones["a"] = ZoneServers{3, 8, true};
+  this->zones["b"] = ZoneServers{0, 2, false};
+  for (uint32_t needed = 0; needed < 100; ++needed) {
+    for (const auto& [zone, plan] : this->Plan(needed)) {
+      EXPECT_LE(plan.on_demand + plan.reclaimable, this->profile.max);
+      EXPECT_GE(plan.on_demand + this->zones.at(zone).reclaimable,
+                this->profile.min);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace boragewharf::fleet
--- /dev/null
+++ b/packages/httpio/tests/httpio_test.cc
@@ -0,0 +1,253 @@
+/**
+ * @file httpio_test.cc
+ * Parsing and connections, with malformed and ambiguous input.
+ */
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+
+#include "httpio/http_channel_base.h"
+#include "httpio/message_parser_base.h"
+#include "httpio/server_connection_base.h"
+
+namespace boragewharf::httpio {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+
+ParseFault FaultOf(const std::string& text) {
+  RequestParser parser(1024, 100);
+  parser.Feed(text);
+  return parser.Fault();
+}
+
+TEST(RequestParserTest, ReadsLengthAndChunkedBodies) {
+  RequestParser sized(1024, 100);
+  const std::string text =
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET";
+  EXPECT_EQ(sized.Feed(text), text.size() - 3);
+  EXPECT_TRUE(sized.is_done());
+  EXPECT_EQ(sized.request.body, "abc");
+  RequestParser chunked(1024, 100);
+  chunked.Feed(
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+  EXPECT_TRUE(chunked.is_done());
+  EXPECT_EQ(chunked.request.body, "abc");
+}
+
+// Guards against a second request hidden in the body of the first.
+TEST(RequestParserTest, AmbiguousFramingIsRefused) {
+  const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\n";
+  EXPECT_EQ(FaultOf(head + "Content-Length: 3\r\nTransfer-Encoding: "
+                           "chunked\r\n\r\n0\r\n\r\n"),
+            ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Transfer-Encoding: chunked\r\nContent-Length: "
+                           "3\r\n\r\n0\r\n\r\n"),
+            ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc"),
+            ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Transfer-Encoding: xchunked\r\n\r\n"),
+            ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Transfer-Encoding: gzip, chunked\r\n\r\n"),
+            ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Host: y\r\n\r\n"), ParseFault::kMalformed);
+  EXPECT_EQ(FaultOf(head + "Content-Length: +3\r\n\r\nabc"),
+            ParseFault::kMalformed);
+}
+
+TEST(RequestParserTest, LimitsAreTold) {
+  EXPECT_EQ(FaultOf("GET /a HTTP/1.1\r\nHost: x\r\nX: " +
+                    std::string(2000, 'a') + "\r\n\r\n"),
+            ParseFault::kHeaderTooLarge);
+  EXPECT_EQ(FaultOf("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                    "101\r\n\r\n"),
+            ParseFault::kBodyTooLarge);
+  EXPECT_EQ(FaultOf("not http\r\n\r\n"), ParseFault::kMalformed);
+}
+
+// A body without a length ends with its connection; one that is cut in the
+// middle of a chunk or short of its length is not complete.
+TEST(ResponseParserTest, EndOfConnectionCompletesOnlyUnframedBodies) {
+  std::string body;
+  const auto sink = [&](std::string_view bytes) { body.append(bytes); };
+  ResponseParser unframed(sink);
+  unframed.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  EXPECT_FALSE(unframed.is_done());
+  EXPECT_TRUE(unframed.FinishAtEnd());
+  EXPECT_EQ(body, "abc");
+  ResponseParser sized(sink);
+  sized.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  EXPECT_FALSE(sized.FinishAtEnd());
+  ResponseParser chunked(sink);
+  chunked.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+  EXPECT_FALSE(chunked.FinishAtEnd());
+  ResponseParser broken(sink);
+  broken.Feed("garbage\r\n\r\n");
+  EXPECT_TRUE(broken.Failed());
+}
+
+TEST(ListContainsTest, TokensAreComparedWhole) {
+  EXPECT_TRUE(ListContains("keep-alive, Close", "close"));
+  EXPECT_FALSE(ListContains("closed", "close"));
+}
+
+/** Echoes paths; keeps requests unanswered at "/wait". */
+class EchoHandler : public RequestHandler {
+ public:
+  void OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                 InboundRequest request) override {
+    ++this->requests;
+    if (request.target == "/wait") {
+      return;
+    }
+    connection->Send(MakeResponse(200, {}, request.target, request.keep_alive));
+    connection->EndResponse(request.keep_alive);
+  }
+  void OnClientGone(ServerConnection&) override { ++this->gone; }
+
+  int requests = 0;
+  int gone = 0;
+};
+
+/** A listener and a blocking client socket. */
+class ConnectionTest : public testing::Test {
+ protected:
+  ConnectionTest() : listener(this->loop, this->Address(), this->handler) {
+    this->client.connect(
+        tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  }
+
+  Endpoint Address() {
+    asio::io_context any;
+    tcp::acceptor probe(any, tcp::endpoint(tcp::v4(), 0));
+    this->port = probe.local_endpoint().port();
+    return {"127.0.0.1", this->port};
+  }
+
+  void Write(const std::string& text) {
+    asio::write(this->client, asio::buffer(text));
+  }
+
+  void Run() { this->loop.run_for(milliseconds(50)); }
+
+  std::string ReadAll() {
+    std::string text;
+    std::array<char, 4096> bytes{};
+    this->client.non_blocking(true);
+    boost::system::error_code error;
+    while (!error) {
+      text.append(bytes.data(),
+                  this->client.read_some(asio::buffer(bytes), error));
+    }
+    this->ended = error == asio::error::eof;
+    return text;
+  }
+
+  asio::io_context loop;
+  uint16_t port = 0;
+  EchoHandler handler;
+  HttpListener listener;
+  asio::io_context client_loop;
+  tcp::socket client{client_loop};
+  bool ended = false;
+};
+
+TEST_F(ConnectionTest, PipelinedRequestsAreAnsweredInOrder) {
+  this->Write(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: "
+      "x\r\n\r\n");
+  this->Run();
+  const std::string text = this->ReadAll();
+  EXPECT_LT(text.find("/1"), text.find("/2"));
+  EXPECT_NE(text.find("/2"), std::string::npos);
+}
+
+TEST_F(ConnectionTest, MalformedInputIsAnsweredAndTheConnectionClosed) {
+  this->Write("nonsense\r\n\r\n");
+  this->Run();
+  EXPECT_NE(this->ReadAll().find("400"), std::string::npos);
+  EXPECT_TRUE(this->ended);
+  EXPECT_EQ(this->handler.requests, 0);
+}
+
+TEST_F(ConnectionTest, SlowHeaderAndIdleConnectionTimeOut) {
+  ConnectionLimits limits;
+  limits.header_timeout = milliseconds(100);
+  limits.idle_timeout = milliseconds(100);
+  this->listener.SetLimits(limits);
+  this->Write("GET /1 HTTP/1.1\r\nHo");
+  this->Run();
+  this->listener.CheckTime(BootClock::now() + milliseconds(200));
+  this->Run();
+  EXPECT_NE(this->ReadAll().find("408"), std::string::npos);
+  EXPECT_TRUE(this->ended);
+}
+
+TEST_F(ConnectionTest, ClientThatLeavesIsTold) {
+  this->Write("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->Run();
+  EXPECT_EQ(this->handler.requests, 1);
+  this->client.close();
+  this->Run();
+  EXPECT_EQ(this->handler.gone, 1);
+}
+
+// Guards against passing on a request from a connection that was closed while
+// its bytes were being read (found as LOST on kbtc-wharf trouble-2).
+TEST_F(ConnectionTest, BytesReadBeforeACloseAreNotServedAfterIt) {
+  this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  for (int i = 0; i < 100 && this->listener.Connections() == 0; ++i) {
+    this->loop.poll_one();
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  ASSERT_EQ(this->listener.Connections(), 1U);
+  this->listener.CloseIdle();
+  this->Run();
+  EXPECT_EQ(this->handler.requests, 0);
+}
+
+TEST_F(ConnectionTest, RequestThatIsPartlyReadIsNotIdle) {
+  this->Write("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
+  this->Run();
+  this->listener.CloseIdle();
+  this->Write("b");
+  this->Run();
+  EXPECT_EQ(this->handler.requests, 1);
+}
+
+TEST_F(ConnectionTest, ChannelCallsOverAKeptConnection) {
+  HttpChannel channel(this->loop, {"127.0.0.1", this->port});
+  std::vector<std::string> answers;
+  for (const char* target : {"/a", "/b"}) {
+    HttpCall call;
+    call.method = "GET";
+    call.target = target;
+    channel.Call(call, [&](const HttpResult& result) {
+      answers.push_back(result.head ? result.body : "none");
+    });
+  }
+  this->Run();
+  EXPECT_EQ(answers, (std::vector<std::string>{"/a", "/b"}));
+  EXPECT_EQ(this->listener.Connections(), 2U) << "the client's and one more";
+}
+
+TEST_F(ConnectionTest, CallWithoutAnswerEndsInTime) {
+  HttpChannel channel(this->loop, {"127.0.0.1", this->port});
+  HttpCall call;
+  call.method = "GET";
+  call.target = "/wait";
+  call.timeout = milliseconds(60);
+  bool ended_without_answer = false;
+  channel.Call(call, [&](const HttpResult& result) {
+    ended_without_answer = result.sent && !result.head;
+  });
+  this->loop.run_for(milliseconds(300));
+  EXPECT_TRUE(ended_without_answer);
+}
+
+}  // namespace
+}  // namespace boragewharf::httpio
--- /dev/null
+++ b/packages/serving/tests/routing_policy_test.cc
@@ -0,0 +1,122 @@
+/**
+ * @file routing_policy_test.cc
+ * Routing under the loads that decide the heaviest days.
+ */
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "serving/routing_policy_base.h"
+
+namespace boragewharf::serving {
+namespace {
+
+/** Servers of one service and what is known of their load. */
+class RoutingTest : public testing::Test {
+ protected:
+  void AddServer(const std::string& id, Distance distance, uint32_t slots) {
+    auto server = std::make_unique<BackendServer>();
+    server->id = id;
+    server->slots = slots;
+    ServerView view;
+    view.server = server.get();
+    view.distance = distance;
+    this->servers.push_back(std::move(server));
+    this->views.push_back(view);
+  }
+
+  std::vector<std::unique_ptr<BackendServer>> servers;
+  std::vector<ServerView> views;
+  std::unique_ptr<RoutingPolicy> engine = MakeExpectedDelayPolicy();
+  std::unique_ptr<RoutingPolicy> plain = MakeLeastRunningPolicy();
+};
+
+// Pattern: a long prompt holds up the short ones behind it. Guards against
+// counting requests where the tokens of their prompts decide.
+TEST_F(RoutingTest, ShortPromptAvoidsServerThatReadsLongOne) {
+  this->AddServer("reads-long-prompt", Distance::kSameZone, 48);
+  this->AddServer("runs-three", Distance::kSameZone, 48);
+  this->views[0].running = 1;
+  this->views[0].prefill_tokens = 50000;
+  this->views[1].running = 3;
+  RouteRequest request;
+  request.prompt_tokens = 600;
+  EXPECT_EQ(this->engine->Choose(request, this->views)->index, 1U);
+}
+
+// Pattern: batch reports share a prefix of thousands of tokens. Guards against
+// reading it again at each server.
+TEST_F(RoutingTest, NodesAgreeOnTheServerOfASharedPrefix) {
+  for (int i = 0; i < 12; ++i) {
+    this->AddServer("server-" + std::to_string(i), Distance::kSameZone, 48);
+  }
+  std::mt19937_64 generator(7);
+  for (uint64_t part = 1; part <= 200; ++part) {
+    RouteRequest request;
+    request.prompt_tokens = 12000;
+    request.shared_tokens = 5400;
+    request.shared_part = part * 7919;
+    const auto here = this->engine->Choose(request, this->views);
+    auto other_order = this->views;
+    std::shuffle(other_order.begin(), other_order.end(), generator);
+    const auto there = this->engine->Choose(request, other_order);
+    EXPECT_EQ(this->views[here->index].server->id,
+              other_order[there->index].server->id);
+  }
+}
+
+// Pattern: hot key. One prefix gets much of the traffic; its server must not
+// take it all while others are free.
+TEST_F(RoutingTest, HotPrefixSpillsOverWhenItsServerIsBusy) {
+  for (int i = 0; i < 4; ++i) {
+    this->AddServer("server-" + std::to_string(i), Distance::kSameZone, 48);
+  }
+  RouteRequest request;
+  request.prompt_tokens = 12000;
+  request.shared_tokens = 5400;
+  request.shared_part = 42;
+  const size_t owner = this->engine->Choose(request, this->views)->index;
+  this->views[owner].prefill_tokens = 60000;
+  EXPECT_NE(this->engine->Choose(request, this->views)->index, owner);
+}
+
+// Pattern: bytes between regions are dear, but a queue is dearer.
+TEST_F(RoutingTest, OtherRegionOnlyWhenTheOwnIsSwamped) {
+  this->AddServer("near", Distance::kSameZone, 48);
+  this->AddServer("far", Distance::kOtherRegion, 48);
+  RouteRequest request;
+  request.prompt_tokens = 6600;
+  request.body_bytes = 12000;
+  this->views[0].prefill_tokens = 10000;
+  EXPECT_EQ(this->engine->Choose(request, this->views)->index, 0U);
+  this->views[0].prefill_tokens = 100000;
+  EXPECT_EQ(this->engine->Choose(request, this->views)->index, 1U);
+}
+
+// Pattern: overload. Guards against sending what a server would reject.
+TEST_F(RoutingTest, FullServersGetNothing) {
+  this->AddServer("full", Distance::kSameZone, 6);
+  this->views[0].running = 15;
+  EXPECT_FALSE(this->engine->Choose({}, this->views));
+  EXPECT_FALSE(this->plain->Choose({}, this->views));
+  this->views[0].running = 14;
+  EXPECT_TRUE(this->plain->Choose({}, this->views));
+}
+
+// Pattern: grey failure. Health is good but requests fail.
+TEST_F(RoutingTest, FailingServerIsPassedOverWhileOthersAreFree) {
+  this->AddServer("fails", Distance::kSameZone, 6);
+  this->AddServer("works", Distance::kSameRegion, 6);
+  this->views[0].failure_rate = 0.5;
+  this->views[1].running = 2;
+  EXPECT_EQ(this->plain->Choose({}, this->views)->index, 1U);
+}
+
+TEST_F(RoutingTest, NoCandidatesGiveNoChoice) {
+  EXPECT_FALSE(this->engine->Choose({}, {}));
+  EXPECT_FALSE(this->plain->Choose({}, {}));
+}
+
+}  // namespace
+}  // namespace boragewharf::serving
