Reserve on-demand servers for the loss of the last reclaimable zone

The holder of the duties could learn of a loss late, through another node. Change: on-demand servers cover all of the need now and 65% of it after the loss of the largest zone; prefill use 0.5 instead of 0.4; the holder follows the store; decisions every 200 ms.

--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -36,7 +36,7 @@
 constexpr milliseconds kRetryPeriod(700);
 
 /** Time between decisions on the number of servers. */
-constexpr milliseconds kScalingPeriod(400);
+constexpr milliseconds kScalingPeriod(200);
 
 /** The largest need of this time decides; loads swing within seconds. */
 constexpr std::chrono::seconds kNeedMemory(10);
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -374,7 +374,9 @@
   }
   const bool settled = state.enough_followers_since &&
                        now - *state.enough_followers_since >= kFollowerSettle;
-  const bool follow = !settled || !state.config || !state.servers_known;
+  // The holder of the duties replaces servers the sooner it hears of a loss.
+  const bool follow = !settled || !state.config || !state.servers_known ||
+                      HoldsDuties(state, now);
   if (follow != state.following) {
     state.following = follow;
     effects.emplace_back(FollowStore{follow});
--- a/packages/fleet/src/scaling_policy_base.cc
+++ b/packages/fleet/src/scaling_policy_base.cc
@@ -16,11 +16,16 @@
 constexpr double kPrefillPerServer = 120000;
 
 /** Share of that at which the time to the first token is still short. */
-constexpr double kPrefillUse = 0.4;
+constexpr double kPrefillUse = 0.5;
 
 /** Share of the slots in use at which steps are still fast. */
 constexpr double kSlotUse = 0.5;
 
+/** Share of the needed servers that has to be left when a zone's reclaimable
+ * ones are taken back. With fewer the batches fill up for the seconds that
+ * others take to boot; the use above leaves room for that. */
+constexpr double kNeedAfterLoss = 0.65;
+
 /** Reclaimable servers beyond what the loss of a zone requires; they cost a
  * fraction of the on-demand servers that a loss would call for. */
 constexpr double kReclaimableSurplus = 1.3;
@@ -34,8 +39,7 @@
       const serving::ScalingProfile& profile,
       uint32_t needed,
       const std::map<std::string, ZoneServers>& zones) const override {
-    const uint32_t present = SafeServers(zones);
-    const uint32_t missing = needed > present ? needed - present : 0;
+    const uint32_t missing = MissingServers(needed, zones);
     ZonePlans plans = PlaceOnDemand(profile, missing, zones);
     const uint32_t share = ShareOfZone(needed, zones);
     for (auto& [zone, plan] : plans) {
@@ -52,19 +56,23 @@
 
  private:
   /**
-   * Reclaimable servers that are left when a zone's are taken back. Where
-   * only one zone has any, the notice is the time to order others.
+   * On-demand servers needed besides the reclaimable ones: all of the demand
+   * is carried now, and most of it once the largest zone's are taken back.
    */
-  static uint32_t SafeServers(const std::map<std::string, ZoneServers>& zones) {
+  static uint32_t MissingServers(
+      uint32_t needed,
+      const std::map<std::string, ZoneServers>& zones) {
     uint32_t total = 0;
     uint32_t largest = 0;
-    uint32_t zones_with_any = 0;
     for (const auto& [zone, servers] : zones) {
       total += servers.reclaimable;
       largest = std::max(largest, servers.reclaimable);
-      zones_with_any += servers.reclaimable > 0 ? 1 : 0;
     }
-    return zones_with_any < 2 ? total : total - largest;
+    const auto after_loss =
+        static_cast<uint32_t>(std::ceil(kNeedAfterLoss * needed));
+    const uint32_t left = total - largest;
+    return std::max(needed > total ? needed - total : 0,
+                    after_loss > left ? after_loss - left : 0);
   }
 
   /** Reclaimable servers of each zone, so that the others carry its loss. */
