Bound quotas after a restart of all nodes and fetch state from live nodes

QUOTA: 71 of 72 nodes are killed under a hot customer; each restarted node began with 30% of the burst and the whole rate before it had heard of any other. DRAIN: a node asked the same stopped node for newer state until that counted as silent, 4.2 s. Change: a restarted node uses a sixteenth of the rate until nearly all nodes report; nodes answer new processes at once; messages every 6 ms times nodes within the region and half as often to others; a failed fetch is followed by one from another node, of the own region first.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -89,7 +89,10 @@
 };
 
 /** A FetchState effect ended. */
-struct FetchEnded {};
+struct FetchEnded {
+  std::string ip;
+  bool fetched = true;
+};
 
 /** A result for the duty lease. */
 struct LeaseEvent {
@@ -283,7 +286,9 @@
   bool leaving = false;
   serving::TrafficReport report;
   uint64_t sequence = 0;
+  TimePoint started;  ///< First event.
   TimePoint next_message;
+  bool far_turn = false;  ///< The next message goes to all regions.
   std::optional<int64_t> wall_offset_ms;
   std::optional<TimePoint> off_since;  ///< The own clock disagrees since.
   std::map<serving::NameHash, std::string> customer_names;
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,7 @@
   serving::NodeStatus status;
   serving::TrafficReport report;
   TimePoint heard;
+  std::optional<TimePoint> fetch_failed;  ///< Last failure to get its state.
 };
 
 /** All other nodes. Not thread-safe. */
@@ -51,11 +53,24 @@
   /** Addresses at which other nodes may be, besides those heard of. */
   void AddSeeds(const std::vector<std::string>& ips);
 
+  /** What a datagram brought. */
+  enum class News : uint8_t {
+    kNone,        ///< Repeated, overtaken, or not for us.
+    kUpdate,      ///< Newer state of a known process.
+    kNewProcess,  ///< A node that was not known, or has restarted.
+  };
+
+  /** Takes over a datagram. */
+  News Hear(const serving::PeerMessage& message, TimePoint now);
+
+  /** A fetch of a node's state failed. */
+  void NoteFetchFailed(std::string_view ip, TimePoint now);
+
   /**
-   * Takes over a datagram.
-   * @return Whether it is news; repeated and overtaken ones are not.
+   * Whether the reports of nearly all nodes arrive: none has appeared for a
+   * while, and few of those told of are unheard.
    */
-  bool Hear(const serving::PeerMessage& message, TimePoint now);
+  bool Informed(TimePoint now) const;
 
   /** Forgets nodes that have been silent for long. */
   void Expire(TimePoint now);
@@ -82,7 +97,8 @@
  private:
   std::string self_ip;
   std::map<std::string, PeerEntry, std::less<>> peers;
-  std::map<std::string, TimePoint, std::less<>> seeds;  ///< Last confirmed.
+  std::set<std::string, std::less<>> seeds;  ///< Told of.
+  TimePoint last_new;                        ///< When a node was first heard.
   std::map<serving::NameHash, uint64_t> admitted;
 };
 
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <set>
+#include <tuple>
 
 #include "duty_cmd.h"
 #include "lease/lease_cmd.h"
@@ -20,7 +21,13 @@
 constexpr milliseconds kMessagePeriod(200);
 
 /** Further time for each node, so that sending costs a bounded share. */
-constexpr milliseconds kPeriodPerNode(12);
+constexpr milliseconds kPeriodPerNode(6);
+
+/** A restarted node counts as informed after this at the latest. */
+constexpr milliseconds kInformedAfter(2000);
+
+/** A node is not asked again for this long after a failed fetch. */
+constexpr std::chrono::seconds kFetchForgiveness(2);
 
 /** Addresses told in a datagram, so that it fits one packet. */
 constexpr size_t kMaxKnownIps = 16;
@@ -320,6 +327,8 @@
   }
   state.next_message = now + MessagePeriod(state);
   state.peers.Expire(now);
+  const bool to_all = state.far_turn || state.leaving;
+  state.far_turn = !state.far_turn;
   const serving::PeerMessage base = MakeMessage(state, now);
   std::map<std::pair<bool, bool>, std::vector<std::string>> groups;
   const std::set<std::string> duty_nodes = DutyNodes(state, now);
@@ -327,7 +336,9 @@
     const auto known = state.peers.All().find(ip);
     const bool near = known == state.peers.All().end() ||
                       known->second.status.region == state.settings.region;
-    groups[{near, duty_nodes.contains(ip)}].push_back(ip);
+    if (near || to_all) {
+      groups[{near, duty_nodes.contains(ip)}].push_back(ip);
+    }
   }
   for (auto& [group, ips] : groups) {
     SendToPeers send{std::move(ips), base};
@@ -343,6 +354,8 @@
   serving::PeerSummary summary =
       state.peers.TakeSummary(MessagePeriod(state), now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
+  summary.informed =
+      state.peers.Informed(now) || now - state.started > kInformedAfter;
   effects.emplace_back(PublishPeers{std::move(summary)});
 }
 
@@ -350,6 +363,7 @@
 void HastenMessage(FleetState& state, TimePoint now) {
   if (state.following) {
     state.next_message = now;
+    state.far_turn = true;
   }
 }
 
@@ -385,21 +399,38 @@
   }
 }
 
-/** Fetches newer state from another node, where the own watch lags. */
-void CatchUp(FleetState& state, TimePoint now, std::vector<Effect>& effects) {
-  const PeerEntry* newest = nullptr;
+/** Whether a node has something newer and can probably be asked for it. */
+bool IsSource(const FleetState& state, const PeerEntry& entry, TimePoint now) {
+  const bool newer = entry.status.config_revision > state.config_revision ||
+                     entry.status.servers_revision > state.servers_revision;
+  const bool failed =
+      entry.fetch_failed && now - *entry.fetch_failed < kFetchForgiveness;
+  return newer && !failed && !IsSilent(entry.heard, MessagePeriod(state), now);
+}
+
+/** The node to ask: the newest, in the own region if one there is as new. */
+const PeerEntry* FindSource(const FleetState& state, TimePoint now) {
+  const PeerEntry* best = nullptr;
+  const auto rank = [&](const PeerEntry& entry) {
+    return std::tuple(
+        entry.status.config_revision, entry.status.servers_revision,
+        entry.status.region == state.settings.region, entry.status.sequence);
+  };
   for (const auto& [ip, entry] : state.peers.All()) {
-    const bool newer = entry.status.config_revision > state.config_revision ||
-                       entry.status.servers_revision > state.servers_revision;
-    if (!newer || IsSilent(entry.heard, MessagePeriod(state), now)) {
+    if (!IsSource(state, entry, now)) {
       continue;
     }
-    if (newest == nullptr ||
-        entry.status.servers_revision > newest->status.servers_revision) {
-      newest = &entry;
+    if (best == nullptr || rank(entry) > rank(*best)) {
+      best = &entry;
     }
   }
-  if (newest == nullptr) {
+  return best;
+}
+
+/** Fetches newer state from another node, where the own watch lags. */
+void CatchUp(FleetState& state, TimePoint now, std::vector<Effect>& effects) {
+  const PeerEntry* source = FindSource(state, now);
+  if (source == nullptr) {
     state.behind_since.reset();
     return;
   }
@@ -414,7 +445,7 @@
   }
   state.fetching = true;
   state.next_fetch = now + kFetchPeriod;
-  effects.emplace_back(FetchState{newest->status.ip, state.config_revision,
+  effects.emplace_back(FetchState{source->status.ip, state.config_revision,
                                   state.servers_revision});
 }
 
@@ -472,6 +503,9 @@
             const Event& event,
             TimePoint now,
             std::vector<Effect>& effects) {
+  if (state.started == TimePoint{}) {
+    state.started = now;
+  }
   std::visit(
       Overloaded{
           [&](const ConfigRead& read) {
@@ -492,7 +526,13 @@
             TakeStoreState(state, store.reachable, now, effects);
           },
           [&](const PeerHeard& heard) {
-            if (state.peers.Hear(heard.message, now)) {
+            const auto news = state.peers.Hear(heard.message, now);
+            if (news == PeerTable::News::kNewProcess) {
+              // It learns of this node, and of others, the sooner.
+              state.next_message = now;
+              state.far_turn = true;
+            }
+            if (news != PeerTable::News::kNone) {
               state.usage.Merge(heard.message.status.ip,
                                 heard.message.status.incarnation,
                                 heard.message.report.usage);
@@ -504,7 +544,12 @@
             state.usage.Merge(state.settings.ip, state.settings.incarnation,
                               traffic.report.usage);
           },
-          [&](const FetchEnded&) { state.fetching = false; },
+          [&](const FetchEnded& fetch) {
+            state.fetching = false;
+            if (!fetch.fetched) {
+              state.peers.NoteFetchFailed(fetch.ip, now);
+            }
+          },
           [&](const LeaseEvent& result) {
             ReduceLease(state, result.event, now, effects);
           },
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -13,6 +13,12 @@
  * losses are frequent. */
 constexpr int kSilentPeriods = 4;
 
+/** No node has appeared for this long: discovery has ended. */
+constexpr std::chrono::milliseconds kSettled(300);
+
+/** One in so many nodes may be unheard; it may be down. */
+constexpr size_t kUnheardShare = 5;
+
 /** A silent node is forgotten after this; a cut lasts seconds. */
 constexpr std::chrono::seconds kForgetAfter(15);
 
@@ -63,15 +69,16 @@
 void PeerTable::AddSeeds(const std::vector<std::string>& ips) {
   for (const std::string& ip : ips) {
     if (ip != this->self_ip) {
-      this->seeds.try_emplace(ip);
+      this->seeds.insert(ip);
     }
   }
 }
 
-bool PeerTable::Hear(const serving::PeerMessage& message, TimePoint now) {
+PeerTable::News PeerTable::Hear(const serving::PeerMessage& message,
+                                TimePoint now) {
   const serving::NodeStatus& status = message.status;
   if (message.format != serving::kPeerFormat || status.ip == this->self_ip) {
-    return false;
+    return News::kNone;
   }
   std::vector<std::string> told;
   for (const uint32_t ip : message.known_ips) {
@@ -86,7 +93,7 @@
     const serving::NodeStatus& old = known->second.status;
     if (status.incarnation < old.incarnation ||
         (same_process && status.sequence <= old.sequence)) {
-      return false;
+      return News::kNone;
     }
   }
   for (const auto& [customer, total] : message.report.admitted) {
@@ -100,8 +107,30 @@
       this->admitted[customer] += total - before;
     }
   }
-  this->peers[status.ip] = PeerEntry{status, message.report, now};
-  return true;
+  if (!same_process) {
+    this->last_new = now;
+  }
+  PeerEntry& entry = this->peers[status.ip];
+  entry.status = status;
+  entry.report = message.report;
+  entry.heard = now;
+  return same_process ? News::kUpdate : News::kNewProcess;
+}
+
+void PeerTable::NoteFetchFailed(std::string_view ip, TimePoint now) {
+  const auto found = this->peers.find(ip);
+  if (found != this->peers.end()) {
+    found->second.fetch_failed = now;
+  }
+}
+
+bool PeerTable::Informed(TimePoint now) const {
+  size_t unheard = 0;
+  for (const std::string& ip : this->seeds) {
+    unheard += this->peers.contains(ip) ? 0 : 1;
+  }
+  return !this->peers.empty() && now - this->last_new > kSettled &&
+         unheard * kUnheardShare <= this->peers.size();
 }
 
 void PeerTable::Expire(TimePoint now) {
@@ -115,7 +144,7 @@
   for (const auto& [ip, entry] : this->peers) {
     targets.push_back(ip);
   }
-  for (const auto& [ip, since] : this->seeds) {
+  for (const std::string& ip : this->seeds) {
     if (!this->peers.contains(ip)) {
       targets.push_back(ip);
     }
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "fleet/fleet_cmd.h"
 #include "lease/lease_func.h"
@@ -164,10 +165,56 @@
   EXPECT_EQ(this->Find<FetchState>(), nullptr) << "its own watch comes first";
   this->TickFor(milliseconds(400));
   EXPECT_TRUE(this->state.fetching);
-  this->Apply(FetchEnded{});
+  this->Apply(FetchEnded{"10.0.0.2", true});
   EXPECT_FALSE(this->state.fetching);
 }
 
+// A node that has just ended is heard no more, but counts as alive for a
+// while; the state is fetched from another (found as DRAIN on
+// ascb-wharf-grown trouble-3).
+TEST_F(FleetTest, FailedFetchIsFollowedByOneFromAnotherNode) {
+  this->Configure();
+  for (const char* ip : {"10.0.0.2", "10.0.0.3"}) {
+    auto message = this->Message(ip, 1);
+    message.status.servers_revision = 50;
+    this->Apply(PeerHeard{message});
+  }
+  std::set<std::string> asked;
+  for (int i = 0; i < 12; ++i) {
+    this->TickFor(kTickPeriod);
+    if (const auto* fetch = this->Find<FetchState>()) {
+      asked.insert(fetch->ip);
+      this->Apply(FetchEnded{fetch->ip, false});
+    }
+  }
+  EXPECT_EQ(asked.size(), 2U);
+}
+
+// Pattern: all nodes are killed at once while a customer sends more than its
+// quota. Until the nodes have found each other none of them knows what the
+// others admit (found as QUOTA on ascb-wharf-grown trouble-3).
+TEST_F(FleetTest, RestartedNodeIsInformedOnceTheOthersReport) {
+  this->Configure();
+  this->TickFor(milliseconds(200));
+  const auto informed = [&] {
+    const auto* publish = this->Find<PublishPeers>();
+    return publish != nullptr && publish->summary.informed;
+  };
+  EXPECT_FALSE(informed());
+  auto message = this->Message("10.0.0.2", 1);
+  for (int i = 3; i < 20; ++i) {
+    message.known_ips.push_back(serving::PackIp("10.0.0." + std::to_string(i)));
+  }
+  this->Apply(PeerHeard{message});
+  this->TickFor(milliseconds(600));
+  EXPECT_FALSE(this->state.peers.Informed(this->now)) << "many are unheard";
+  for (int i = 3; i < 20; ++i) {
+    this->Apply(PeerHeard{this->Message("10.0.0." + std::to_string(i), 1)});
+  }
+  this->TickFor(milliseconds(500));
+  EXPECT_TRUE(this->state.peers.Informed(this->now));
+}
+
 // Guards against a patch that leaves out changes in between.
 TEST_F(FleetTest, PatchOnAnUnknownBaseIsIgnored) {
   this->Configure();
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -250,7 +250,7 @@
 
 void ControlLoop::Fetch(const fleet::FetchState& fetch) {
   if (!this->settings.control) {
-    this->Handle(fleet::FetchEnded{});
+    this->Handle(fleet::FetchEnded{fetch.ip, false});
     return;
   }
   auto& channel = this->fetchers[fetch.ip];
@@ -264,7 +264,8 @@
                 "?config=" + std::to_string(fetch.config_revision) +
                 "&servers=" + std::to_string(fetch.servers_revision);
   call.timeout = kFetchTimeout;
-  channel->Call(std::move(call), [this](const httpio::HttpResult& result) {
+  channel->Call(std::move(call), [this, ip = fetch.ip](
+                                     const httpio::HttpResult& result) {
     const auto fetched = result.head && result.head->status == 200
                              ? DecodePeerState(result.body)
                              : std::nullopt;
@@ -288,7 +289,7 @@
         .Get("peer_state_fetches_total",
              fetched ? "result=\"ok\"" : "result=\"failed\"")
         .Add();
-    this->Handle(fleet::FetchEnded{});
+    this->Handle(fleet::FetchEnded{ip, fetched.has_value()});
   });
 }
 
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -16,7 +16,7 @@
 constexpr double kOverdraftShare = 0.2;
 
 /** Fill of the quotas of a restarted node; their use is unknown. */
-constexpr double kRestartFill = 0.3;
+constexpr double kRestartFill = 0.02;
 
 /** Notice assumed of a server that the cloud takes back, until it tells. */
 constexpr std::chrono::milliseconds kAssumedNotice(2000);
@@ -49,7 +49,8 @@
       counters(registry),
       pool(event_loop, place.zone, place.region, place.zone_regions),
       quotas(limits.quota_slack * kOverdraftShare,
-             limits.first_start ? 1.0 : kRestartFill),
+             limits.first_start ? 1.0 : kRestartFill,
+             !limits.first_start),
       budget(limits.retry_ratio, limits.retry_extra, limits.retry_window),
       engine_policy(serving::MakeExpectedDelayPolicy()),
       plain_policy(serving::MakeLeastRunningPolicy()),
@@ -112,6 +113,10 @@
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
   this->nodes = std::max<uint32_t>(1, summary.nodes);
   this->wall_offset_ms = summary.wall_offset_ms;
+  this->quotas.SetNodes(this->nodes);
+  if (summary.informed) {
+    this->quotas.SetInformed();
+  }
   this->quotas.SetSilentShare(summary.silent_share);
   this->pool.UpdatePeerLoads(summary.loads);
   this->suspects.SetRemote(summary.crashes);
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -108,6 +108,7 @@
 
 /** What the traffic side needs to know of the other nodes. */
 struct PeerSummary {
+  bool informed = false;       ///< All known nodes report.
   uint32_t nodes = 1;          ///< Known nodes, this one included.
   double silent_share = 0;     ///< Share of nodes that may be cut off.
   int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -31,8 +31,10 @@
    * @param allowed_overdraft Amount below zero that is still admitted; covers
    * the lag of reports, within the excess that the deployment allows.
    * @param fill Fill of a new bucket, relative to its burst.
+   * @param blind Whether the use by other nodes is not known yet; until
+   *     SetInformed() only an assumed share of the rate is used.
    */
-  QuotaTable(double allowed_overdraft, double fill);
+  QuotaTable(double allowed_overdraft, double fill, bool blind = false);
 
   /** Takes over new limits; keeps the levels, cut to the new bursts. */
   void Configure(const ServingConfig& config, TimePoint now);
@@ -46,6 +48,12 @@
   /** Deducts what other nodes admitted since their last report. */
   void DeductRemote(std::string_view customer, double cost);
 
+  /** The reports of the other nodes arrive from now on. */
+  void SetInformed() { this->informed = true; }
+
+  /** Sets the number of nodes that share the quotas; at least 1. */
+  void SetNodes(uint32_t count) { this->nodes = count; }
+
   /** Sets the share of nodes that are silent, 0 to 1. */
   void SetSilentShare(double share) { this->silent_share = share; }
 
@@ -70,6 +78,8 @@
   double overdraft;
   double initial_fill;
   double silent_share = 0;
+  uint32_t nodes = 1;
+  bool informed = true;
   std::map<std::string, Bucket, std::less<>> buckets;
   std::map<std::string, double, std::less<>> admitted;
 };
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -7,6 +7,13 @@
 #include <algorithm>
 
 namespace boragewharf::serving {
+namespace {
+
+/** Nodes among which a restarted node divides the rate until it has heard of
+ * the others; a guess, as none may have told how many there are. */
+constexpr uint32_t kAssumedNodes = 16;
+
+}  // namespace
 
 double QuotaCost(const Customer& customer, const RequestFacts& facts) {
   if (!customer.quota_in_tokens) {
@@ -18,8 +25,8 @@
   return static_cast<double>(facts.prompt_tokens) + facts.max_output_tokens;
 }
 
-QuotaTable::QuotaTable(double allowed_overdraft, double fill)
-    : overdraft(allowed_overdraft), initial_fill(fill) {}
+QuotaTable::QuotaTable(double allowed_overdraft, double fill, bool blind)
+    : overdraft(allowed_overdraft), initial_fill(fill), informed(!blind) {}
 
 void QuotaTable::Configure(const ServingConfig& config, TimePoint now) {
   std::map<std::string, Bucket, std::less<>> next;
@@ -47,7 +54,10 @@
 void QuotaTable::Refill(Bucket& bucket, TimePoint now) const {
   const std::chrono::duration<double> passed = now - bucket.updated;
   bucket.updated = now;
-  const double rate = bucket.rate * (1.0 - this->silent_share);
+  double rate = bucket.rate * (1.0 - this->silent_share);
+  if (!this->informed) {
+    rate = bucket.rate / std::max(this->nodes, kAssumedNodes);
+  }
   bucket.level = std::min(bucket.burst, bucket.level + rate * passed.count());
 }
 
@@ -56,7 +66,8 @@
   if (found != this->buckets.end()) {
     Bucket& bucket = found->second;
     this->Refill(bucket, now);
-    if (bucket.level + this->overdraft < cost) {
+    const double allowed = this->informed ? this->overdraft : 0;
+    if (bucket.level + allowed < cost) {
       return false;
     }
     bucket.level -= cost;
--- a/packages/serving/tests/quota_test.cc
+++ b/packages/serving/tests/quota_test.cc
@@ -89,56 +89,120 @@
   EXPECT_TRUE(table.Admit(config.customers[0], 990, now));
 }
 
-// Pattern: hot tenant. One customer sends six times its quota through six
-// nodes, whose reports are 200 ms old. In any 8 s the total stays within the
-// allowed excess of 10% and 140,000 tokens.
-TEST(QuotaTableTest, NodesTogetherKeepAHotCustomerWithinItsQuota) {
-  constexpr double kRate = 390000;
-  constexpr size_t kNodes = 6;
-  const ServingConfig config = ConfigWith(kRate, kRate);
-  std::vector<QuotaTable> nodes(kNodes, QuotaTable(28000, 1.0));
-  TimePoint now{seconds(100)};
-  for (QuotaTable& node : nodes) {
-    node.Configure(config, now);
-  }
-  std::vector<double> reported(kNodes, 0);
-  std::mt19937_64 generator(11);
-  std::uniform_real_distribution<double> size(500, 24000);
-  std::uniform_int_distribution<size_t> pick(0, kNodes - 1);
-  std::deque<std::pair<TimePoint, double>> admitted;
-  double in_window = 0;
-  double most = 0;
-  const double gap_s = 12000 / (6 * kRate);
-  for (int step = 0; step < 6000; ++step) {
-    const auto gap = std::chrono::duration<double>(gap_s);
-    const TimePoint before = now;
-    now += std::chrono::duration_cast<Duration>(gap);
-    const bool report = before.time_since_epoch() / milliseconds(200) !=
-                        now.time_since_epoch() / milliseconds(200);
-    for (size_t from = 0; report && from < kNodes; ++from) {
-      const auto total = nodes[from].Admitted().find("school");
-      const double sum =
-          total == nodes[from].Admitted().end() ? 0 : total->second;
-      for (size_t to = 0; to < kNodes; ++to) {
-        if (to != from) {
-          nodes[to].DeductRemote("school", sum - reported[from]);
-        }
-      }
-      reported[from] = sum;
+/** A hot customer's requests, spread over nodes that report with a lag. */
+struct HotCustomer {
+  size_t nodes = 6;
+  double rate = 390000;
+  double times_rate = 6;
+  milliseconds period{200};  ///< Of each node's reports, staggered.
+  double in_window = 0;      ///< Most admitted in any 8 s.
+  double mean_rate = 0;      ///< Over the whole run.
+
+  void Run(Duration length) {
+    const ServingConfig config = ConfigWith(this->rate, this->rate);
+    std::vector<QuotaTable> tables(this->nodes, QuotaTable(28000, 1.0));
+    const TimePoint start{seconds(100)};
+    TimePoint now = start;
+    for (QuotaTable& table : tables) {
+      table.Configure(config, now);
+      table.SetNodes(static_cast<uint32_t>(this->nodes));
     }
-    const double cost = size(generator);
-    if (nodes[pick(generator)].Admit(config.customers[0], cost, now)) {
-      admitted.emplace_back(now, cost);
-      in_window += cost;
+    std::vector<double> reported(this->nodes, 0);
+    std::vector<TimePoint> next_report(this->nodes);
+    for (size_t i = 0; i < this->nodes; ++i) {
+      next_report[i] = now + this->period * i / this->nodes;
     }
-    while (!admitted.empty() && admitted.front().first < now - seconds(8)) {
-      in_window -= admitted.front().second;
-      admitted.pop_front();
+    std::mt19937_64 generator(11);
+    std::uniform_real_distribution<double> size(500, 24000);
+    std::uniform_int_distribution<size_t> pick(0, this->nodes - 1);
+    std::deque<std::pair<TimePoint, double>> admitted;
+    double sum_in_window = 0;
+    double total = 0;
+    const std::chrono::duration<double> gap(12250 /
+                                            (this->times_rate * this->rate));
+    while (now < start + length) {
+      now += std::chrono::duration_cast<Duration>(gap);
+      for (size_t from = 0; from < this->nodes; ++from) {
+        if (now < next_report[from]) {
+          continue;
+        }
+        next_report[from] += this->period;
+        const auto found = tables[from].Admitted().find("school");
+        const double sum =
+            found == tables[from].Admitted().end() ? 0 : found->second;
+        for (size_t to = 0; to < this->nodes; ++to) {
+          if (to != from) {
+            tables[to].DeductRemote("school", sum - reported[from]);
+          }
+        }
+        reported[from] = sum;
+      }
+      const double cost = size(generator);
+      if (tables[pick(generator)].Admit(config.customers[0], cost, now)) {
+        admitted.emplace_back(now, cost);
+        sum_in_window += cost;
+        total += cost;
+      }
+      while (!admitted.empty() && admitted.front().first < now - seconds(8)) {
+        sum_in_window -= admitted.front().second;
+        admitted.pop_front();
+      }
+      this->in_window = std::max(this->in_window, sum_in_window);
     }
-    most = std::max(most, in_window);
+    this->mean_rate = total / std::chrono::duration<double>(length).count();
+  }
+
+  /** Allowed in 8 s: an excess of 10% and 140,000 tokens. */
+  double Allowed() const {
+    return (this->rate * 8 + this->rate) * 1.1 + 140000;
   }
-  EXPECT_LE(most, (kRate * 8 + kRate) * 1.1 + 140000);
-  EXPECT_GE(most, kRate * 8 * 0.9) << "the quota is used";
+};
+
+// Pattern: restart of all nodes under a hot customer: a node that does not yet
+// hear the others uses a small share only.
+TEST(QuotaTableTest, BlindNodeUsesAShareUntilItIsInformed) {
+  const ServingConfig config = ConfigWith(16000, 16000);
+  QuotaTable table(5000, 0, /*blind=*/true);
+  TimePoint now{seconds(100)};
+  table.Configure(config, now);
+  now += seconds(1);
+  EXPECT_FALSE(table.Admit(config.customers[0], 1200, now));
+  EXPECT_TRUE(table.Admit(config.customers[0], 900, now));
+  table.SetInformed();
+  now += seconds(1);
+  EXPECT_TRUE(table.Admit(config.customers[0], 15000, now));
+}
+
+// Pattern: hot tenant at six nodes.
+TEST(QuotaTableTest, NodesTogetherKeepAHotCustomerWithinItsQuota) {
+  HotCustomer hot;
+  hot.Run(seconds(30));
+  EXPECT_LE(hot.in_window, hot.Allowed());
+  EXPECT_GE(hot.mean_rate, 0.9 * hot.rate) << "the quota is used";
+}
+
+// Pattern: hot tenant at 72 nodes, whose reports are almost a second apart
+// (found as QUOTA on ascb-wharf-grown trouble-3).
+TEST(QuotaTableTest, ManyNodesWithRareReportsKeepAHotCustomerWithinItsQuota) {
+  HotCustomer hot;
+  hot.nodes = 72;
+  hot.rate = 667000;
+  hot.period = milliseconds(864);
+  hot.Run(seconds(40));
+  EXPECT_LE(hot.in_window, hot.Allowed());
+  EXPECT_GE(hot.mean_rate, 0.85 * hot.rate) << "the quota is used";
+}
+
+// Pattern: a customer that stays below its quota is never refused, however
+// its requests are spread.
+TEST(QuotaTableTest, CustomerBelowItsQuotaIsServed) {
+  HotCustomer calm;
+  calm.nodes = 72;
+  calm.rate = 667000;
+  calm.times_rate = 0.8;
+  calm.period = milliseconds(864);
+  calm.Run(seconds(40));
+  EXPECT_GE(calm.mean_rate, 0.97 * 0.8 * calm.rate);
 }
 
 }  // namespace
