--- a/packages/fleet/src/scaling_policy_base.cc
+++ b/packages/fleet/src/scaling_policy_base.cc
@@ -24,7 +24,7 @@
 /** Share of the needed servers that has to be left when a zone's reclaimable
  * ones are taken back. With fewer the batches fill up for the seconds that
  * others take to boot; the use above leaves room for that. */
-constexpr double kNeedAfterLoss = 0.65;
+constexpr double kNeedAfterLoss = 0.9;
 
 /** Reclaimable servers beyond what the loss of a zone requires; they cost a
  * fraction of the on-demand servers that a loss would call for. */
