Let restarted nodes use the share of the nodes that they know of

Change: the share counts all nodes heard or told of, at least six; discovery counts as ended after 200 ms.

--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -14,7 +14,7 @@
 constexpr int kSilentPeriods = 4;
 
 /** No node has appeared for this long: discovery has ended. */
-constexpr std::chrono::milliseconds kSettled(300);
+constexpr std::chrono::milliseconds kSettled(200);
 
 /** One in so many nodes may be unheard; it may be down. */
 constexpr size_t kUnheardShare = 5;
@@ -190,6 +190,9 @@
     }
   }
   summary.silent_share = static_cast<double>(silent) / summary.nodes;
+  // A node that has just started has been told of more than it has heard.
+  summary.nodes = std::max(summary.nodes,
+                           static_cast<uint32_t>(this->seeds.size()) + 1);
   summary.admitted = std::move(this->admitted);
   this->admitted.clear();
   return summary;
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -9,9 +9,9 @@
 namespace boragewharf::serving {
 namespace {
 
-/** Nodes among which a restarted node divides the rate until it has heard of
- * the others; a guess, as none may have told how many there are. */
-constexpr uint32_t kAssumedNodes = 16;
+/** Least number of nodes among which a restarted node divides the rate until
+ * it has heard of the others; the smallest deployments have six. */
+constexpr uint32_t kAssumedNodes = 6;
 
 }  // namespace
 
