Save quota levels in the store for nodes that restart

Change: the holder of the duties saves the levels each second; a restarted node reads them, refills them for the time passed and uses its share until it hears the others.

--- a/packages/eventlog/include/eventlog/event_log_base.h
+++ b/packages/eventlog/include/eventlog/event_log_base.h
@@ -26,9 +26,9 @@
   EventField(std::string_view field, std::string_view text)
       : name(field), value(text) {}
   EventField(std::string_view field, const std::string& text)
-      : name(field), value(std::string_view(text)) {}
+      : name(field), value(std::string_view{text}) {}
   EventField(std::string_view field, const char* text)
-      : name(field), value(std::string_view(text)) {}
+      : name(field), value(std::string_view{text}) {}
   EventField(std::string_view field, bool flag) : name(field), value(flag) {}
   EventField(std::string_view field, double number)
       : name(field), value(number) {}
--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -121,6 +121,13 @@
   bool unavailable = false;  ///< None of this kind are to be had there.
 };
 
+/** Quota levels that were saved in the store were read. */
+struct QuotasRead {
+  std::map<std::string, double> levels;  ///< By customer.
+  int64_t saved_wall_ms = 0;
+  int64_t clock_wall_ms = 0;  ///< Reading of the time of day.
+};
+
 /** The signal to stop arrived. */
 struct StopRequested {};
 
@@ -141,6 +148,7 @@
                            UsageFixed,
                            UsageSent,
                            ServersOrdered,
+                           QuotasRead,
                            StopRequested,
                            Tick>;
 
@@ -211,6 +219,18 @@
   FencingNumber fencing;
 };
 
+/** Save the quota levels for nodes that restart; no event. */
+struct SaveQuotas {
+  std::map<std::string, double> levels;
+  int64_t wall_ms = 0;
+};
+
+/** The traffic side takes over saved quota levels. */
+struct RestoreQuotas {
+  std::map<std::string, double> levels;
+  Duration age{};
+};
+
 /** A line for the log. */
 struct LogChange {
   std::string event;
@@ -229,6 +249,8 @@
                             DropUsage,
                             SendUsage,
                             OrderServers,
+                            SaveQuotas,
+                            RestoreQuotas,
                             LogChange>;
 
 // State.
@@ -295,6 +317,7 @@
   std::map<int64_t, WindowProgress> windows;
   std::map<std::string, ScalingState> scaling;
   TimePoint next_scaling;
+  TimePoint next_quota_save;
   std::optional<TimePoint> lost_duty;
   std::shared_ptr<const ScalingPolicy> scaling_policy;
 };
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -35,6 +35,10 @@
 /** Time between tries of a call to the platform. */
 constexpr milliseconds kRetryPeriod(700);
 
+/** Time between saves of the quota levels; bounds what a restart of all
+ * nodes forgets. */
+constexpr milliseconds kQuotaSavePeriod(1000);
+
 /** Time between decisions on the number of servers. */
 constexpr milliseconds kScalingPeriod(200);
 
@@ -404,6 +408,11 @@
     return;
   }
   ReportUsage(state, *fencing, now, effects);
+  if (now >= state.next_quota_save && !state.report.quota_levels.empty()) {
+    state.next_quota_save = now + kQuotaSavePeriod;
+    effects.emplace_back(
+        SaveQuotas{state.report.quota_levels, WallMs(state, now)});
+  }
   if (!state.settings.orders_servers || now < state.next_scaling ||
       !state.config || !state.servers_known) {
     return;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -60,6 +60,9 @@
 /** The own estimate follows the others after disagreeing for this long. */
 constexpr std::chrono::seconds kClockPatience(1);
 
+/** Saved quota levels that are older say nothing of the quotas' windows. */
+constexpr milliseconds kQuotaMemory(10000);
+
 /** Nodes named to a client; the nearest of them if there are enough. */
 constexpr size_t kEnoughEntries = 2;
 constexpr size_t kMaxEntries = 64;
@@ -291,6 +294,20 @@
   }
 }
 
+void TakeQuotas(FleetState& state,
+                const QuotasRead& read,
+                std::vector<Effect>& effects) {
+  const milliseconds age(
+      std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
+  if (age > kQuotaMemory) {
+    return;
+  }
+  effects.emplace_back(RestoreQuotas{read.levels, age});
+  effects.emplace_back(LogChange{"quotas_restored",
+                                 "age " + std::to_string(age.count()) + " ms",
+                                 state.config_revision});
+}
+
 /** What all nodes are told. */
 serving::PeerMessage MakeMessage(FleetState& state, TimePoint now) {
   serving::PeerMessage message;
@@ -558,6 +575,7 @@
           [&](const ServersOrdered& answer) {
             TakeOrderAnswer(state, answer, now, effects);
           },
+          [&](const QuotasRead& read) { TakeQuotas(state, read, effects); },
           [&](const StopRequested&) {
             state.leaving = true;
             state.next_message = now;
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -415,6 +415,22 @@
   EXPECT_FALSE(this->Holds());
 }
 
+TEST_F(DutyTest, HolderSavesQuotaLevelsAndRestartsTakeFreshOnes) {
+  this->Gain();
+  serving::TrafficReport report;
+  report.quota_levels = {{"school", 12.5}};
+  this->Apply(TrafficReported{report});
+  const auto save = this->RunUntil<SaveQuotas>(seconds(3));
+  ASSERT_TRUE(save);
+  EXPECT_EQ(save->levels.at("school"), 12.5);
+  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 700});
+  const auto* restore = this->Find<RestoreQuotas>();
+  ASSERT_NE(restore, nullptr);
+  EXPECT_EQ(restore->age, Duration(milliseconds(700)));
+  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 60000});
+  EXPECT_EQ(this->Find<RestoreQuotas>(), nullptr) << "too old to say anything";
+}
+
 TEST(UsageLedgerTest, SumsProcessesAndKeepsTheHighestCountOfEach) {
   UsageLedger ledger;
   ledger.Merge("n1", 1, {{100, {{5, 3}}}});
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -14,7 +14,7 @@
 using tcp = asio::ip::tcp;
 
 /** Largest response body of the platform or a node, in bytes. */
-constexpr size_t kMaxBodyBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxBodyBytes = size_t{16} * 1024 * 1024;
 
 /** Idle connections are not reused after this; servers close them silently. */
 constexpr std::chrono::seconds kMaxIdle(5);
@@ -85,7 +85,7 @@
     this->output = call.method + " " + call.target +
                    " HTTP/1.1\r\nHost: " + ToString(this->server) + "\r\n";
     for (const auto& [name, value] : call.fields) {
-      this->output += name + ": " + value + "\r\n";
+      this->output.append(name).append(": ").append(value).append("\r\n");
     }
     if (!call.body.empty()) {
       this->output +=
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -51,7 +51,7 @@
   text += ReasonPhrase(status);
   text += "\r\n";
   for (const auto& [name, value] : fields) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   if (!keep_alive) {
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -33,6 +33,8 @@
   virtual void TakeServers(
       std::shared_ptr<const serving::ServerSet> servers) = 0;
   virtual void TakePeers(serving::PeerSummary summary) = 0;
+  virtual void TakeQuotas(const std::map<std::string, double>& levels,
+                          Duration age) = 0;
 };
 
 /** An answer of the simple endpoints. */
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -49,6 +49,8 @@
       std::shared_ptr<const serving::ServingConfig> config) override;
   void TakeServers(std::shared_ptr<const serving::ServerSet> servers) override;
   void TakePeers(serving::PeerSummary summary) override;
+  void TakeQuotas(const std::map<std::string, double>& levels,
+                  Duration age) override;
   void WaitForSignal();
   void Reload();
   void Leave();
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -159,6 +159,10 @@
   this->ReceiveDatagram();
   this->platform.Follow(
       [this](const fleet::Event& event) { this->Handle(event); });
+  if (!this->settings.first_start) {
+    this->platform.ReadQuotas(
+        [this](const fleet::Event& event) { this->Handle(event); });
+  }
   this->Tick();
 }
 
@@ -201,6 +205,10 @@
           [&](const fleet::OrderServers& order) {
             this->platform.Order(order, sink);
           },
+          [&](const fleet::SaveQuotas& quotas) { this->platform.Save(quotas); },
+          [&](const fleet::RestoreQuotas& quotas) {
+            this->traffic.TakeQuotas(quotas.levels, quotas.age);
+          },
           [&](const fleet::LogChange& change) {
             this->log.Write(
                 EventLevel::kInfo, change.event,
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -133,6 +133,13 @@
   });
 }
 
+void Node::TakeQuotas(const std::map<std::string, double>& levels,
+                      Duration age) {
+  asio::post(this->traffic_loop, [this, levels, age] {
+    this->traffic->RestoreQuotas(levels, age);
+  });
+}
+
 void Node::WaitForSignal() {
   this->signals.async_wait(
       [this](const boost::system::error_code& error, int number) {
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -71,6 +71,12 @@
   /** Takes over what the other nodes reported. */
   void SetPeers(const serving::PeerSummary& summary);
 
+  /** Takes over quota levels that were saved @p age ago. */
+  void RestoreQuotas(const std::map<std::string, double>& levels,
+                     Duration age) {
+    this->quotas.Restore(levels, age);
+  }
+
   /** From now on connections close after their answer. */
   void SetLeaving() { this->leaving = true; }
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -20,10 +20,10 @@
 constexpr Milliseconds kConnectTimeout(800);
 
 /** Buffered bytes to a slow client beyond which the server is not read. */
-constexpr size_t kMaxClientBacklog = 256 * 1024;
+constexpr size_t kMaxClientBacklog = size_t{256} * 1024;
 
 /** Largest answer that is buffered before it is forwarded. */
-constexpr size_t kMaxBufferedAnswer = 16 * 1024 * 1024;
+constexpr size_t kMaxBufferedAnswer = size_t{16} * 1024 * 1024;
 
 /** Retry-After while no server of the service is listed. */
 constexpr Milliseconds kRetryNoServer(1000);
@@ -380,7 +380,7 @@
   std::string head =
       "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
   for (const auto& [name, value] : facts.forwarded) {
-    head += name + ": " + value + "\r\n";
+    head.append(name).append(": ").append(value).append("\r\n");
   }
   if (this->core.leaving) {
     head += "Connection: close\r\n";
@@ -461,7 +461,7 @@
   std::string answer =
       "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
   for (const auto& [name, value] : facts.forwarded) {
-    answer += name + ": " + value + "\r\n";
+    answer.append(name).append(": ").append(value).append("\r\n");
   }
   const bool bodyless = facts.status == 204 || facts.status == 304;
   if (!bodyless) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -75,7 +75,8 @@
 }
 
 void TrafficCore::AskLeavingServers(TimePoint now) {
-  for (const auto& [id, pooled] : this->pool.All()) {
+  for (const auto& entry : this->pool.All()) {
+    const std::shared_ptr<PooledServer>& pooled = entry.second;
     const bool leaving_server = !pooled->listed || pooled->server.draining;
     if (!leaving_server || pooled->asked_when || pooled->own.running == 0) {
       continue;
@@ -190,6 +191,7 @@
     }
   }
   report.crashes = this->suspects.Report(now);
+  report.quota_levels = this->quotas.Levels(now);
   return report;
 }
 
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -49,8 +49,9 @@
   std::map<NameHash, uint64_t> admitted;  ///< Quota units since the start.
   std::map<NameHash, ServerLoad> loads;   ///< Servers with load only.
   std::map<NameHash, ServiceDemand> demand;
-  std::map<int64_t, UsageCounts> usage;  ///< By window, recent ones.
-  std::map<uint64_t, uint32_t> crashes;  ///< Servers crashed by request.
+  std::map<int64_t, UsageCounts> usage;        ///< By window, recent ones.
+  std::map<uint64_t, uint32_t> crashes;        ///< Servers crashed by request.
+  std::map<std::string, double> quota_levels;  ///< By customer; kept local.
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -49,7 +49,16 @@
   void DeductRemote(std::string_view customer, double cost);
 
   /** The reports of the other nodes arrive from now on. */
-  void SetInformed() { this->informed = true; }
+  void SetInformed();
+
+  /** Levels of all buckets, to be restored after a restart. */
+  std::map<std::string, double> Levels(TimePoint now);
+
+  /**
+   * Takes over levels that were saved before a restart.
+   * @param age Time since they were saved, in which the buckets refilled.
+   */
+  void Restore(const std::map<std::string, double>& levels, Duration age);
 
   /** Sets the number of nodes that share the quotas; at least 1. */
   void SetNodes(uint32_t count) { this->nodes = count; }
@@ -70,16 +79,20 @@
     double rate = 0;
     double burst = 0;
     double level = 0;
+    double reserve = 0;  ///< Part of the level for the other nodes.
     TimePoint updated;
   };
 
   void Refill(Bucket& bucket, TimePoint now) const;
+  void RestoreBucket(const std::string& customer, Bucket& bucket) const;
 
   double overdraft;
   double initial_fill;
   double silent_share = 0;
   uint32_t nodes = 1;
   bool informed = true;
+  std::map<std::string, double> restored;  ///< Levels at @c restored_age.
+  Duration restored_age{};
   std::map<std::string, Bucket, std::less<>> buckets;
   std::map<std::string, double, std::less<>> admitted;
 };
--- a/packages/serving/src/event_splitter_base.cc
+++ b/packages/serving/src/event_splitter_base.cc
@@ -62,7 +62,7 @@
 }
 
 std::string_view EventSplitter::Rest() const {
-  return std::string_view(this->buffer).substr(this->consumed);
+  return std::string_view{this->buffer}.substr(this->consumed);
 }
 
 void EventSplitter::Reset() {
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -46,11 +46,63 @@
     bucket.rate = customer.rate_per_second;
     bucket.burst = customer.burst;
     bucket.level = std::min(bucket.level, bucket.burst);
+    if (found == this->buckets.end()) {
+      this->RestoreBucket(customer.name, bucket);
+    }
     next.emplace(customer.name, bucket);
   }
   this->buckets = std::move(next);
 }
 
+void QuotaTable::SetInformed() {
+  if (this->informed) {
+    return;
+  }
+  this->informed = true;
+  for (auto& [customer, bucket] : this->buckets) {
+    bucket.level = std::min(bucket.burst, bucket.level + bucket.reserve);
+    bucket.reserve = 0;
+  }
+}
+
+std::map<std::string, double> QuotaTable::Levels(TimePoint now) {
+  std::map<std::string, double> levels;
+  for (auto& [customer, bucket] : this->buckets) {
+    this->Refill(bucket, now);
+    levels[customer] = bucket.level + bucket.reserve;
+  }
+  return levels;
+}
+
+void QuotaTable::Restore(const std::map<std::string, double>& levels,
+                         Duration age) {
+  this->restored = levels;
+  this->restored_age = age;
+  for (auto& [customer, bucket] : this->buckets) {
+    this->RestoreBucket(customer, bucket);
+  }
+}
+
+void QuotaTable::RestoreBucket(const std::string& customer,
+                               Bucket& bucket) const {
+  const auto found = this->restored.find(customer);
+  if (found == this->restored.end()) {
+    return;
+  }
+  const std::chrono::duration<double> age = this->restored_age;
+  const double level =
+      std::min(bucket.burst, found->second + bucket.rate * age.count());
+  if (this->informed) {
+    bucket.level = std::min(bucket.burst, bucket.level + std::max(0.0, level));
+    return;
+  }
+  // Each node starts with its share; what the others admit meanwhile is
+  // deducted once they report.
+  const double share = 1.0 / std::max(this->nodes, kAssumedNodes);
+  bucket.level += level > 0 ? level * share : level;
+  bucket.reserve = level > 0 ? level * (1 - share) : 0;
+}
+
 void QuotaTable::Refill(Bucket& bucket, TimePoint now) const {
   const std::chrono::duration<double> passed = now - bucket.updated;
   bucket.updated = now;
--- a/packages/serving/tests/quota_test.cc
+++ b/packages/serving/tests/quota_test.cc
@@ -174,6 +174,26 @@
   EXPECT_TRUE(table.Admit(config.customers[0], 15000, now));
 }
 
+// Pattern: all nodes restart. A customer below its quota finds its burst as it
+// was, divided until the nodes hear each other; a hot one finds its debt.
+TEST(QuotaTableTest, RestartedNodesGoOnFromTheSavedLevels) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  TimePoint now{seconds(100)};
+  QuotaTable calm(0, 0, /*blind=*/true);
+  calm.Configure(config, now);
+  calm.Restore({{"school", 5000}}, seconds(1));
+  EXPECT_EQ(calm.Levels(now).at("school"), 6000);
+  EXPECT_TRUE(calm.Admit(config.customers[0], 1000, now));
+  EXPECT_FALSE(calm.Admit(config.customers[0], 1000, now));
+  calm.SetInformed();
+  EXPECT_TRUE(calm.Admit(config.customers[0], 5000, now));
+  QuotaTable hot(0, 0, /*blind=*/true);
+  hot.Restore({{"school", -9000}}, seconds(1));
+  hot.Configure(config, now);
+  EXPECT_FALSE(hot.Admit(config.customers[0], 1, now));
+  EXPECT_EQ(hot.Levels(now).at("school"), -3000);
+}
+
 // Pattern: hot tenant at six nodes.
 TEST(QuotaTableTest, NodesTogetherKeepAHotCustomerWithinItsQuota) {
   HotCustomer hot;
