--- /dev/null
+++ b/tests/soak/node_process.cc
@@ -0,0 +1,103 @@
+/**
+ * @file node_process.cc
+ * Processes of a soak run.
+ */
+#include "node_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+extern char** environ;  // NOLINT(readability-identifier-naming)
+
+namespace boragewharf::soak {
+
+NodeProcess::NodeProcess(std::string program_path,
+                         std::string work_directory,
+                         std::string address,
+                         const RunAddresses& shared)
+    : program(std::move(program_path)),
+      directory(std::move(work_directory)),
+      ip(std::move(address)),
+      addresses(shared) {}
+
+NodeProcess::~NodeProcess() {
+  if (this->Running()) {
+    kill(this->pid, SIGCONT);
+    kill(this->pid, SIGKILL);
+    waitpid(this->pid, nullptr, 0);
+  }
+}
+
+void NodeProcess::Start(bool first_start) {
+  if (this->Running()) {
+    return;
+  }
+  const auto at = [&](uint16_t port) {
+    return ToString(Endpoint{this->ip, port});
+  };
+  const nlohmann::json settings = {
+      {"node", "node-" + this->ip},
+      {"ip", this->ip},
+      {"zone", "a"},
+      {"region", "r1"},
+      {"zoneRegions", {{"a", "r1"}}},
+      {"listen",
+       {{"clients", at(this->addresses.client_port)},
+        {"ready", at(this->addresses.ready_port)},
+        {"control", at(this->addresses.control_port)},
+        {"directory", at(this->addresses.directory_port)}}},
+      {"metrics", at(this->addresses.metrics_port)},
+      {"peerPort", this->addresses.peer_port},
+      {"seeds", {"127.0.10.1:" + std::to_string(this->addresses.control_port)}},
+      {"firstStart", first_start},
+      {"store", ToString(this->addresses.store)},
+      {"cloud", ToString(this->addresses.cloud)},
+      {"duties", {"usage"}},
+      {"bounds", {{"graceS", 4}, {"usageWindowS", 2}, {"leaseMs", 1500}}}};
+  const std::string base = this->directory + "/" + this->ip;
+  std::ofstream(base + ".json") << settings.dump();
+  const std::string config = base + ".json";
+  std::array<char*, 4> arguments = {const_cast<char*>(this->program.c_str()),
+                                    const_cast<char*>("--config"),
+                                    const_cast<char*>(config.c_str()), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                   (base + ".log").c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  const int result = posix_spawn(&this->pid, this->program.c_str(), &actions,
+                                 nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (result != 0) {
+    throw std::runtime_error("cannot start " + this->program);
+  }
+}
+
+void NodeProcess::Signal(int number) {
+  if (this->Running()) {
+    kill(this->pid, number);
+  }
+}
+
+bool NodeProcess::Running() {
+  if (this->pid == 0) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(this->pid, &status, WNOHANG) == 0) {
+    return true;
+  }
+  this->failed = this->failed || (WIFEXITED(status) && WEXITSTATUS(status)) ||
+                 (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL);
+  this->pid = 0;
+  return false;
+}
+
+}  // namespace boragewharf::soak
--- /dev/null
+++ b/tests/soak/soak_client.h
@@ -0,0 +1,83 @@
+/**
+ * @file soak_client.h
+ * A client that sends requests one after the other and checks the answers.
+ */
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "httpio/message_parser_base.h"
+
+namespace boragewharf::soak {
+
+/** What became of the requests of a run. */
+struct RunRecord {
+  std::vector<std::string> faults;           ///< Broken promises.
+  std::map<std::string, uint32_t> statuses;  ///< By status, 0: none.
+  std::map<std::string, std::string> not_run;  ///< Ids told so, with status.
+  std::map<std::string, std::string> unsafe;   ///< Ids of orders.
+};
+
+/** Sends requests for as long as it lives. On one loop. */
+class SoakClient {
+ public:
+  /**
+   * @param pick Address of the node for the next connection.
+   * @param record Outlives the client.
+   */
+  SoakClient(boost::asio::io_context& loop,
+             std::string name,
+             uint64_t seed,
+             std::function<boost::asio::ip::tcp::endpoint()> pick,
+             RunRecord& record);
+
+  /** Begins sending; at most @p count requests, 0: no bound. */
+  void Start(uint32_t count);
+
+  /** Sends no further request. */
+  void Stop() { this->stopping = true; }
+
+  /** Requests answered with 200. */
+  uint32_t Served() const { return this->served; }
+  bool Done() const { return this->done; }
+
+ private:
+  void Next();
+  void Connect();
+  void Send();
+  void Read();
+  void OnRead(const boost::system::error_code& error, size_t size);
+  void CheckAnswer();
+  void Finish(bool complete);
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::string name;
+  std::mt19937_64 generator;
+  std::function<boost::asio::ip::tcp::endpoint()> pick;
+  RunRecord& record;
+  std::array<char, 8192> chunk{};
+  std::string input;
+  std::string output;
+  std::string body;
+  std::string id;
+  std::string path;
+  std::unique_ptr<httpio::ResponseParser> parser;
+  uint64_t number = 0;
+  uint32_t left = 0;
+  bool bounded = false;
+  uint32_t served = 0;
+  bool stopping = false;
+  bool done = false;
+};
+
+}  // namespace boragewharf::soak
