Count a crash only where the server proves to be gone

Streams moved back and forth between two servers whose lapsed entries had returned, because the assumed notice stayed. Change: a broken request counts as a crash once its server refuses connections, is gone without draining, or has restarted; a server that is listed as ready again has no notice. Conclusion: common requests are not refused for lost answers any more.

--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -36,6 +36,8 @@
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   std::unordered_map<uint64_t, TimePoint> prefixes;  ///< Sent here, by part.
   std::unique_ptr<httpio::HttpChannel> moves;        ///< For move calls.
+  /** Requests whose connection broke without an answer, by time. */
+  std::deque<std::pair<TimePoint, uint64_t>> broken;
 };
 
 /** All servers. Not thread-safe; used on the traffic loop. */
@@ -84,6 +86,16 @@
                    serving::AttemptFailure failure,
                    TimePoint now);
 
+  /** Records that a request's connection broke without an answer. */
+  void NoteBroken(PooledServer& server, uint64_t fingerprint, TimePoint now);
+
+  /**
+   * Requests that were running on servers which turned out to have crashed.
+   * A lost answer alone is no crash: the server has to be unreachable, gone
+   * or restarted soon after.
+   */
+  std::vector<uint64_t> TakeCrashers();
+
   /** Closes connections that were idle for too long. */
   void CheckTime(TimePoint now);
 
@@ -94,12 +106,14 @@
 
  private:
   serving::Distance DistanceTo(std::string_view other_zone) const;
+  void ConfirmCrash(PooledServer& server, TimePoint now);
 
   boost::asio::io_context& loop;
   std::string zone;
   std::string region;
   std::map<std::string, std::string> zone_regions;
   std::map<std::string, std::shared_ptr<PooledServer>, std::less<>> servers;
+  std::vector<uint64_t> crashers;
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -499,7 +499,7 @@
   }
   this->core.pool.NoteFailure(*server, failure, now);
   if (failure == AttemptFailure::kBroken && !this->counted_run) {
-    this->core.suspects.NoteCrash(this->fingerprint, now);
+    this->core.pool.NoteBroken(*server, this->fingerprint, now);
   }
   this->core.log.Write(
       EventLevel::kWarning, "attempt_failed",
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -36,6 +36,13 @@
 /** A sent prefix counts as cached for this long. */
 constexpr std::chrono::seconds kPrefixMemory(10);
 
+/** A crash shows within this: connections are refused, or the entry goes
+ * after three heartbeats. */
+constexpr std::chrono::seconds kCrashEvidence(5);
+
+/** Broken requests remembered for each server; more than its slots. */
+constexpr size_t kMaxBroken = 256;
+
 /** Prefixes remembered for each server. */
 constexpr size_t kMaxPrefixes = 1024;
 
@@ -83,12 +90,25 @@
     auto& pooled = this->servers[listed.id];
     const bool replaced = pooled && (pooled->server.started != listed.started ||
                                      pooled->server.address != listed.address);
+    if (replaced) {
+      this->ConfirmCrash(*pooled, now);
+    }
     if (!pooled || replaced) {
       pooled = std::make_shared<PooledServer>();
       pooled->distance = this->DistanceTo(listed.zone);
     }
     pooled->server = listed;
     pooled->listed = true;
+    if (!listed.draining) {
+      // Its entry had only lapsed.
+      pooled->asked_when = false;
+      pooled->leaves_at.reset();
+    }
+  }
+  for (const auto& [id, pooled] : this->servers) {
+    if (!pooled->listed && !pooled->server.draining) {
+      this->ConfirmCrash(*pooled, now);
+    }
   }
   std::erase_if(this->servers, [&](const auto& entry) {
     const PooledServer& pooled = *entry.second;
@@ -186,12 +206,35 @@
   pooled.failure_rate += kFailureWeight * (1 - pooled.failure_rate);
   pooled.failures_in_row += 1;
   if (failure == AttemptFailure::kNotSent) {
+    this->ConfirmCrash(pooled, now);
     pooled.avoid_until = now + kUnreachableTime;
   } else if (pooled.failures_in_row >= kAvoidAfter) {
     pooled.avoid_until = now + kAvoidTime;
   }
 }
 
+void ServerPool::NoteBroken(PooledServer& pooled,
+                            uint64_t fingerprint,
+                            TimePoint now) {
+  pooled.broken.emplace_back(now, fingerprint);
+  if (pooled.broken.size() > kMaxBroken) {
+    pooled.broken.pop_front();
+  }
+}
+
+void ServerPool::ConfirmCrash(PooledServer& pooled, TimePoint now) {
+  for (const auto& [when, fingerprint] : pooled.broken) {
+    if (now - when < kCrashEvidence) {
+      this->crashers.push_back(fingerprint);
+    }
+  }
+  pooled.broken.clear();
+}
+
+std::vector<uint64_t> ServerPool::TakeCrashers() {
+  return std::exchange(this->crashers, {});
+}
+
 void ServerPool::CheckTime(TimePoint now) {
   for (auto& [id, pooled] : this->servers) {
     while (!pooled->idle.empty()) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -205,6 +205,12 @@
     exchange->CheckTime(now);
   }
   this->pool.CheckTime(now);
+  for (const uint64_t fingerprint : this->pool.TakeCrashers()) {
+    this->suspects.NoteCrash(fingerprint, now);
+    this->log.Write(EventLevel::kWarning, "crash_suspect",
+                    {{"fingerprint", std::to_string(fingerprint)},
+                     {"refused", this->suspects.Refused(fingerprint)}});
+  }
 }
 
 void TrafficCore::OnRequest(
