--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -328,6 +328,10 @@
   std::shared_ptr<const ScalingPolicy> scaling_policy;
 };
 
+/** Time between saves of the quota levels; bounds what a restart of all nodes
+ * forgets. */
+inline constexpr std::chrono::milliseconds kQuotaSavePeriod(1000);
+
 /** Period of the Tick event. */
 inline constexpr std::chrono::milliseconds kTickPeriod(100);
 
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -35,10 +35,6 @@
 /** Time between tries of a call to the platform. */
 constexpr milliseconds kRetryPeriod(700);
 
-/** Time between saves of the quota levels; bounds what a restart of all
- * nodes forgets. */
-constexpr milliseconds kQuotaSavePeriod(1000);
-
 /** Time between decisions on the number of servers. */
 constexpr milliseconds kScalingPeriod(200);
 
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -297,11 +297,14 @@
 void TakeQuotas(FleetState& state,
                 const QuotasRead& read,
                 std::vector<Effect>& effects) {
-  const milliseconds age(
+  milliseconds age(
       std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
   if (age > kQuotaMemory) {
     return;
   }
+  // What was used between the save and the restart is not known; a customer
+  // at its limit uses as much as is refilled.
+  age = std::max(milliseconds(0), age - kQuotaSavePeriod);
   effects.emplace_back(RestoreQuotas{read.levels, age});
   effects.emplace_back(LogChange{"quotas_restored",
                                  "age " + std::to_string(age.count()) + " ms",
