Pass over servers that reject, and end the soak's faults when it heals

The soak went on injecting faults, because a queued timer completion is not cancelled (47 faults in place of about 18); one of them made desk-1 reject everything, and least-running routing sent it most orders, as it looked idle. Change: the soak stops at healing; a rejection counts as a failure in routing, without a time of avoidance. Conclusion: the check of the soak stays; the routing fault is mended.

--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -200,10 +200,10 @@
 void ServerPool::NoteFailure(PooledServer& pooled,
                              AttemptFailure failure,
                              TimePoint now) {
+  pooled.failure_rate += kFailureWeight * (1 - pooled.failure_rate);
   if (failure == AttemptFailure::kRejected) {
-    return;  // A full server is not a failing one.
+    return;  // A full server is passed over, but not avoided.
   }
-  pooled.failure_rate += kFailureWeight * (1 - pooled.failure_rate);
   pooled.failures_in_row += 1;
   if (failure == AttemptFailure::kNotSent) {
     this->ConfirmCrash(pooled, now);
--- a/tests/soak/node_soak.cc
+++ b/tests/soak/node_soak.cc
@@ -89,6 +89,7 @@
     auto clients = this->MakeClients("load", 0);
     this->ScheduleFault();
     this->loop.run_for(this->length);
+    this->healing = true;
     this->timer.cancel();
     this->Heal();
     for (const auto& client : clients) {
@@ -145,7 +146,8 @@
   void ScheduleFault() {
     this->timer.expires_after(milliseconds(200 + this->generator() % 700));
     this->timer.async_wait([this](const boost::system::error_code& error) {
-      if (!error) {
+      // A completion that is queued is not cancelled any more.
+      if (!error && !this->healing) {
         this->Inject();
         this->ScheduleFault();
       }
@@ -268,6 +270,7 @@
   RunRecord record;
   uint64_t version = 0;
   size_t injected = 0;
+  bool healing = false;
 };
 
 }  // namespace
