--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -191,8 +191,8 @@
   }
   summary.silent_share = static_cast<double>(silent) / summary.nodes;
   // A node that has just started has been told of more than it has heard.
-  summary.nodes = std::max(summary.nodes,
-                           static_cast<uint32_t>(this->seeds.size()) + 1);
+  summary.nodes =
+      std::max(summary.nodes, static_cast<uint32_t>(this->seeds.size()) + 1);
   summary.admitted = std::move(this->admitted);
   this->admitted.clear();
   return summary;
--- a/tests/soak/node_soak.cc
+++ b/tests/soak/node_soak.cc
@@ -46,7 +46,9 @@
 /** One seeded run. */
 class SoakRun {
  public:
-  SoakRun(uint64_t run_seed, std::string node_program, seconds run_length)
+  SoakRun(uint64_t run_seed,
+          const std::string& node_program,
+          seconds run_length)
       : seed(run_seed),
         length(run_length),
         generator(run_seed),
@@ -59,7 +61,8 @@
     std::filesystem::create_directories(this->directory);
     for (const char* id : {"llm-1", "llm-2", "desk-1", "desk-2"}) {
       this->servers.push_back(std::make_unique<ServerStandin>(
-          this->loop, id, std::string(id).substr(0, 3) == "llm" ? "llm" : "desk"));
+          this->loop, id,
+          std::string(id).substr(0, 3) == "llm" ? "llm" : "desk"));
       this->servers.back()->SetStream(12, milliseconds(20));
     }
     this->addresses.store = this->store.Address();
@@ -173,8 +176,7 @@
         node.Signal(SIGHUP);
         break;
       case 4:
-        this->store.SetMode(
-            static_cast<StoreMode>(this->generator() % 4));
+        this->store.SetMode(static_cast<StoreMode>(this->generator() % 4));
         break;
       case 5:
         this->store.Compact();
@@ -244,8 +246,9 @@
     }
     for (const auto& [id, status] : this->record.not_run) {
       if (this->RunsOf(id) > 0) {
-        this->record.faults.push_back(id + ": answered " + status +
-                                      ", but it has run");
+        std::string fault = id;
+        fault.append(": answered ").append(status).append(", but it has run");
+        this->record.faults.push_back(std::move(fault));
       }
     }
     if (this->cloud.Conflicts() > 0 || this->cloud.FencingFaults() > 0) {
--- a/tests/soak/soak_client.cc
+++ b/tests/soak/soak_client.cc
@@ -185,9 +185,8 @@
   } else {
     this->record.statuses["none"] += 1;
     if (stream && !CountEvents(this->body)) {
-      this->record.faults.push_back(this->id +
-                                    ": events missing, doubled or cut: " +
-                                    this->body);
+      this->record.faults.push_back(
+          this->id + ": events missing, doubled or cut: " + this->body);
     }
   }
   if (!complete || !this->parser->keep_alive()) {
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -21,8 +21,8 @@
 
 /** What became of the requests of a run. */
 struct RunRecord {
-  std::vector<std::string> faults;           ///< Broken promises.
-  std::map<std::string, uint32_t> statuses;  ///< By status, 0: none.
+  std::vector<std::string> faults;             ///< Broken promises.
+  std::map<std::string, uint32_t> statuses;    ///< By status, 0: none.
   std::map<std::string, std::string> not_run;  ///< Ids told so, with status.
   std::map<std::string, std::string> unsafe;   ///< Ids of orders.
 };
