--- a/packages/ledger/tests/ledger_sim.h
+++ b/packages/ledger/tests/ledger_sim.h
@@ -25,7 +25,7 @@
   int stale_read = 20;     ///< A read returns the former version.
   int lost_message = 30;   ///< A message between daemons is lost.
   int duplicate = 30;      ///< A claim arrives twice.
-  int disturbances = 60;   ///< Outages, crashes, pauses, ownership changes.
+  int disruptions = 60;    ///< Outages, crashes, pauses, ownership changes.
   int claims = 400;        ///< Claims made in all.
   int keys = 60;           ///< Different keys.
   Duration length = std::chrono::seconds(60);  ///< Of the faulty part.
--- a/packages/ledger/tests/ledger_sim_test.cc
+++ b/packages/ledger/tests/ledger_sim_test.cc
@@ -29,7 +29,7 @@
     this->At(this->options.length * (this->random() % 1000) / 1000,
              [this] { this->StartClaim(); });
   }
-  for (int i = 0; i < this->options.disturbances; ++i) {
+  for (int i = 0; i < this->options.disruptions; ++i) {
     this->At(this->options.length * (this->random() % 1000) / 1000,
              [this] { this->Disturb(); });
   }
