Split the forwarding of answers from the exchange

Change: exchange_answer.cc forwards answers and applies the time bounds; no behaviour changes. Measured: adapter tests 25 pass.

--- /dev/null
+++ b/packages/relay/src/exchange_answer.cc
@@ -0,0 +1,268 @@
+/**
+ * @file exchange_answer.cc
+ * Forwarding of a server's answer, and the time bounds of a request.
+ */
+#include <algorithm>
+#include <utility>
+
+#include "exchange_base.h"
+
+namespace boragewharf::relay {
+namespace {
+
+using serving::AttemptFailure;
+using serving::Milliseconds;
+using serving::RouteKind;
+
+/** Buffered bytes to a slow client beyond which the server is not read. */
+constexpr size_t kMaxClientBacklog = size_t{256} * 1024;
+
+/** Largest answer that is buffered before it is forwarded. */
+constexpr size_t kMaxBufferedAnswer = size_t{16} * 1024 * 1024;
+
+/** Clients give up a stream after this, four goals or eight gap goals. */
+constexpr Milliseconds kClientPatience(2000);
+
+/** Time to establish a connection; the clients allow one second as well. */
+constexpr Milliseconds kConnectTimeout(800);
+
+}  // namespace
+
+void Exchange::OnBody(std::string_view bytes) {
+  const TimePoint now = BootClock::now();
+  this->attempt->last_byte = now;
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  const bool streaming = this->IsStream() && facts.event_stream &&
+                         facts.stamped && facts.status / 100 == 2 &&
+                         !facts.attempt_id.empty();
+  if (!streaming) {
+    this->buffered.append(bytes);
+    if (this->buffered.size() > kMaxBufferedAnswer) {
+      this->AbortClient("answer_too_large");
+    }
+    return;
+  }
+  this->splitter.Append(bytes);
+  this->ForwardEvents(now);
+}
+
+void Exchange::ForwardEvents(TimePoint now) {
+  std::string whole;
+  while (const auto event = this->splitter.Next()) {
+    if (event->id && this->last_event_id &&
+        *event->id <= *this->last_event_id) {
+      continue;  // Repeated after a resumption.
+    }
+    if (event->id) {
+      this->last_event_id = event->id;
+    }
+    this->events += 1;
+    whole += event->text;
+  }
+  if (whole.empty()) {
+    return;
+  }
+  if (!this->attempt->first_event) {
+    this->attempt->first_event = true;
+    this->EndPrefill();
+  }
+  if (!this->counted_run) {
+    this->counted_run = true;
+    this->first_event_at = now;
+    if (this->customer != nullptr) {
+      this->core.CountRun(this->customer->name, now);
+    }
+  }
+  this->SendStreamHead();
+  this->SendChunk(whole);
+  if (this->client->PendingBytes() > kMaxClientBacklog) {
+    this->attempt->connection->SetPaused(true);
+    this->client->SetDrained([weak = this->weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->attempt) {
+        self->attempt->connection->SetPaused(false);
+      }
+    });
+  }
+}
+
+void Exchange::SendStreamHead() {
+  if (this->answer_started) {
+    return;
+  }
+  this->answer_started = true;
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  std::string head =
+      "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
+  for (const auto& [name, value] : facts.forwarded) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (this->core.leaving) {
+    head += "Connection: close\r\n";
+  }
+  head += "Transfer-Encoding: chunked\r\n\r\n";
+  this->client->Send(std::move(head));
+}
+
+void Exchange::SendChunk(std::string_view bytes) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string size;
+  for (size_t left = bytes.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  std::string chunk = size + "\r\n";
+  chunk += bytes;
+  chunk += "\r\n";
+  this->client->Send(std::move(chunk));
+}
+
+void Exchange::OnComplete() {
+  const serving::ResponseFacts facts = *this->attempt->facts;
+  const bool rejected = facts.not_run || facts.status == 421;
+  const bool success = facts.status / 100 == 2;
+  this->attempt->completed = true;
+  if (rejected) {
+    this->AfterFailure(AttemptFailure::kRejected);
+    return;
+  }
+  if (success && (!facts.stamped || facts.attempt_id.empty())) {
+    this->attempt->completed = false;
+    this->AfterFailure(AttemptFailure::kMalformed);
+    return;
+  }
+  if (success && this->IsStream() && facts.event_stream) {
+    this->CompleteStream();
+    return;
+  }
+  this->CompleteBuffered();
+}
+
+void Exchange::CompleteStream() {
+  const std::string rest(this->splitter.Rest());
+  if (!rest.empty()) {
+    // The server stopped in the middle of an event.
+    this->attempt->completed = false;
+    this->AfterFailure(AttemptFailure::kBroken);
+    return;
+  }
+  this->core.pool.NoteSuccess(*this->attempt->server);
+  this->core.suspects.NoteAnswer(this->fingerprint);
+  this->SendStreamHead();
+  this->client->Send("0\r\n\r\n");
+  this->Finish("served", this->attempt->facts->status);
+}
+
+void Exchange::CompleteBuffered() {
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  if (!this->counted_run && this->customer != nullptr) {
+    this->counted_run = true;
+    this->core.CountRun(this->customer->name, this->attempt->started);
+  }
+  this->core.suspects.NoteAnswer(this->fingerprint);
+  if (facts.status >= 500) {
+    this->AfterFailure(AttemptFailure::kErrored);
+    return;
+  }
+  if (this->answer_started) {
+    this->AbortClient("resumption_refused");
+    return;
+  }
+  this->core.pool.NoteSuccess(*this->attempt->server);
+  this->ForwardBuffered();
+}
+
+void Exchange::ForwardBuffered() {
+  const serving::ResponseFacts& facts = *this->attempt->facts;
+  std::string answer =
+      "HTTP/1.1 " + std::to_string(facts.status) + " " + facts.reason + "\r\n";
+  for (const auto& [name, value] : facts.forwarded) {
+    answer.append(name).append(": ").append(value).append("\r\n");
+  }
+  const bool bodyless = facts.status == 204 || facts.status == 304;
+  if (!bodyless) {
+    answer +=
+        "Content-Length: " + std::to_string(this->buffered.size()) + "\r\n";
+  }
+  if (this->core.leaving || !this->client->KeepAlive()) {
+    answer += "Connection: close\r\n";
+  }
+  answer += "\r\n";
+  answer += this->buffered;
+  this->client->Send(std::move(answer));
+  this->Finish(facts.status / 100 == 2 ? "served" : "server_status",
+               facts.status);
+}
+
+void Exchange::CheckTime(TimePoint now) {
+  if (this->done || !this->attempt) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->CheckTimeout(now);
+  if (this->done || !this->attempt) {
+    return;
+  }
+  this->CheckSilence(now);
+  if (this->done || !this->attempt) {
+    return;
+  }
+  this->CheckLeaving(now);
+}
+
+void Exchange::CheckTimeout(TimePoint now) {
+  if (now < std::min(this->route_deadline, this->client_deadline)) {
+    return;
+  }
+  if (this->answer_started) {
+    this->AbortClient("timeout");
+    return;
+  }
+  const bool may_run = this->attempt->sent || this->may_have_run;
+  this->Refuse(may_run ? 504 : 503, std::nullopt, "timeout");
+}
+
+Duration Exchange::SilenceBound() const {
+  if (!this->IsStream()) {
+    return std::max<Duration>(2 * this->route->goal, kConnectTimeout / 2);
+  }
+  const Milliseconds patience = std::max(
+      {kClientPatience, 4 * this->route->goal, 8 * this->route->gap_goal});
+  return patience / 2;
+}
+
+bool Exchange::ResendInsteadOfWaiting(TimePoint now) {
+  if (!this->route->Repeatable() || this->sends >= this->route->max_attempts) {
+    return false;
+  }
+  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  return now + kLeastTimeLeft < end;
+}
+
+void Exchange::CheckSilence(TimePoint now) {
+  if (!this->attempt->sent) {
+    if (now - this->attempt->started > kConnectTimeout) {
+      this->attempt->connection->Close();
+      this->AfterFailure(AttemptFailure::kNotSent);
+    }
+    return;
+  }
+  if (this->move.step == MoveStep::kStopping ||
+      now - this->attempt->last_byte < this->SilenceBound() ||
+      !this->ResendInsteadOfWaiting(now)) {
+    return;
+  }
+  // Only given up if another server takes it; waiting may still succeed.
+  const std::shared_ptr<PooledServer> other = [&] {
+    this->tried.push_back(this->attempt->server->server.id);
+    auto chosen = this->ChooseServer();
+    this->tried.pop_back();
+    return chosen;
+  }();
+  if (!other) {
+    return;
+  }
+  this->attempt->connection->Close();
+  this->AfterFailure(AttemptFailure::kSilent);
+}
+
+}  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
 
 namespace boragewharf::relay {
 
+/** A repeat needs at least this much time to be worth sending. */
+inline constexpr std::chrono::milliseconds kLeastTimeLeft(150);
+
 /** Lives while the client waits. Not thread-safe; on the traffic loop. */
 class Exchange : public UpstreamListener,
                  public std::enable_shared_from_this<Exchange> {
