--- a/packages/control/src/control_func.cc
+++ b/packages/control/src/control_func.cc
@@ -274,7 +274,7 @@
                                       identity.seed, now),
       config::ConfigState(self, identity.seed + 1),
       ledger::MakeLedgerState(self, identity.ledger, identity.seed + 2),
-      lease::LeaseState{self, std::mt19937_64(identity.seed + 3), 0, {}},
+      lease::LeaseState{self, {}, std::mt19937_64(identity.seed + 3), 0, {}},
       backend::MakeBackendState({}, identity.seed + 4),
       {},
       {},
