--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -283,7 +283,9 @@
 struct ScalingState {
   std::map<std::pair<std::string, bool>, OrderState> orders;  ///< Zone, kind.
   std::map<TimePoint, uint32_t> needed;  ///< Recent needs, by time.
-  uint32_t initial_servers = 0;
+  uint32_t initial_servers = 0;          ///< Found before the first order.
+  std::optional<TimePoint> grown_at;     ///< When their number last grew.
+  bool initial_counted = false;          ///< Their number is known.
   std::optional<TimePoint> first_demand;
 };
 
@@ -323,6 +325,7 @@
   bool servers_known = false;
   bool following = true;  ///< Learns from the store itself.
   bool store_reachable = false;
+  bool store_seen = false;  ///< Whether it is reachable has been told.
   bool fetching = false;
   bool leaving = false;
   bool far_turn = false;  ///< The next message goes to all regions.
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -57,6 +57,10 @@
 /** Share of the servers found at the start that is kept until then. */
 constexpr double kInitialShare = 0.66;
 
+/** The servers found at the start are counted once their number has not grown
+ * for this long; they register with their first heartbeats. */
+constexpr milliseconds kServersSettle(1500);
+
 int64_t WallMs(const FleetState& state, TimePoint now) {
   return state.wall_offset_ms.value_or(0) +
          std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
@@ -219,17 +223,33 @@
   return zones;
 }
 
+/**
+ * Counts the servers that were there before any order.
+ * @return Whether their number is known.
+ */
+bool CountInitialServers(ScalingState& scaling,
+                         const std::map<std::string, ZoneServers>& zones,
+                         TimePoint now) {
+  if (scaling.initial_counted) {
+    return true;
+  }
+  uint32_t total = 0;
+  for (const auto& [zone, servers] : zones) {
+    total += servers.on_demand + servers.reclaimable;
+  }
+  if (total > scaling.initial_servers || !scaling.grown_at) {
+    scaling.initial_servers = total;
+    scaling.grown_at = now;
+  }
+  scaling.initial_counted = now - *scaling.grown_at >= kServersSettle;
+  return scaling.initial_counted;
+}
+
 /** The largest recent need, and the initial servers until demand is seen. */
 uint32_t NeedNow(ScalingState& scaling,
                  const serving::Service& service,
                  const ScalingDemand& demand,
-                 const std::map<std::string, ZoneServers>& zones,
                  TimePoint now) {
-  if (scaling.initial_servers == 0) {
-    for (const auto& [zone, servers] : zones) {
-      scaling.initial_servers += servers.on_demand + servers.reclaimable;
-    }
-  }
   if (demand.running > 0 && !scaling.first_demand) {
     scaling.first_demand = now;
   }
@@ -298,7 +318,10 @@
   ScalingState& scaling = state.scaling[service.name];
   const ScalingDemand demand = TotalDemand(state, service.name, now);
   const auto zones = CountServers(state, service, scaling, now);
-  const uint32_t needed = NeedNow(scaling, service, demand, zones, now);
+  if (!CountInitialServers(scaling, zones, now)) {
+    return;
+  }
+  const uint32_t needed = NeedNow(scaling, service, demand, now);
   const ZonePlans plans =
       state.scaling_policy->Plan(*service.scaling, needed, zones);
   for (const auto& [zone, plan] : plans) {
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -42,7 +42,7 @@
 
 /** A node stops following the store after this many others have done so for
  * this time. */
-constexpr std::chrono::seconds kFollowerSettle(3);
+constexpr std::chrono::seconds kFollowerSettle(1);
 
 /** Changes of servers kept for nodes that are behind. */
 constexpr size_t kKeptChanges = 256;
@@ -112,7 +112,7 @@
 
 /** Whether a server that is no longer listed may only have lapsed. */
 bool MayHaveLapsed(const FleetState& state, TimePoint now) {
-  if (!state.following) {
+  if (!state.following || !state.store_seen) {
     return false;  // The nodes that follow the store have waited already.
   }
   return !state.store_reachable ||
@@ -237,7 +237,8 @@
   }
   bool changed = false;
   std::erase_if(state.missing, [&](const auto& entry) {
-    const TimePoint since = std::max(entry.second, *state.store_regained);
+    const TimePoint since =
+        std::max(entry.second, state.store_regained.value_or(entry.second));
     if (now - since < kReturnTime) {
       return false;
     }
@@ -259,13 +260,15 @@
                     bool reachable,
                     TimePoint now,
                     std::vector<Effect>& effects) {
-  if (state.store_reachable == reachable && state.store_regained) {
+  if (state.store_reachable == reachable && state.store_seen) {
     return;
   }
-  state.store_reachable = reachable;
-  if (reachable) {
+  // The first contact of a process ends no outage: no entry had lapsed.
+  if (reachable && state.store_seen) {
     state.store_regained = now;
   }
+  state.store_seen = true;
+  state.store_reachable = reachable;
   effects.emplace_back(LogChange{reachable ? "store_regained" : "store_lost",
                                  "", state.servers_revision});
 }
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -160,6 +160,27 @@
 // Guards against own removals that take the numbers of changes which the store
 // tells next (found as DRAIN and CONFIG on kbtc-wharf-grown trouble-1, seed
 // 396184029879).
+// Pattern: rolling restart while servers leave. A node that has just started
+// must not hold a removed server for a lapsed one: others fetch its list and
+// send to the server again (found as DRAIN on kbtc-wharf-grown trouble-3).
+TEST_F(FleetTest, FirstContactWithTheStoreEndsNoOutage) {
+  this->Configure();
+  this->TickFor(milliseconds(500));
+  this->Apply(ServerChanged{20, "s1", std::nullopt});
+  EXPECT_FALSE(this->state.servers.contains("s1"));
+}
+
+TEST_F(FleetTest, NodeThatStartsDuringAnOutageKeepsLapsedEntries) {
+  this->Apply(StoreReachable{false});
+  this->Apply(ConfigRead{10, Config(3), "{}"});
+  this->Apply(ServersRead{11, {Server("s1"), Server("s2")}, true});
+  this->Apply(StoreReachable{true});
+  this->Apply(ServersRead{12, {Server("s1")}, false});
+  EXPECT_TRUE(this->state.servers.contains("s2"));
+  this->TickFor(seconds(3));
+  EXPECT_FALSE(this->state.servers.contains("s2"));
+}
+
 TEST_F(FleetTest, ChangesAfterAnOutageAreNotTakenForOldOnes) {
   this->Configure();
   this->TickFor(seconds(5));
@@ -399,10 +420,13 @@
     while (this->now < end) {
       this->now += kTickPeriod;
       this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+      // A call of the lease in the same step is answered as well.
+      std::vector<Effect> seen = this->effects;
+      this->AnswerLease();
+      this->effects = std::move(seen);
       if (const Wanted* found = this->Find<Wanted>()) {
         return *found;
       }
-      this->AnswerLease();
     }
     return std::nullopt;
   }
@@ -457,6 +481,39 @@
   EXPECT_FALSE(this->Holds());
 }
 
+// Pattern: start of a deployment. Servers register over seconds, and the duties
+// are held before all have. Guards against a fleet that is cut down to the few
+// servers seen first, just before the traffic begins.
+TEST_F(DutyTest, ServersOfTheStartAreCountedOnceAllHaveRegistered) {
+  this->state.settings.orders_servers = true;
+  auto config = Config(5);
+  serving::Service service;
+  service.name = "llm";
+  service.engine.emplace();
+  service.engine->slots = 12;
+  service.scaling.emplace();
+  service.scaling->min = 1;
+  service.scaling->max = 60;
+  service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}, {"c", 1.0}};
+  config->services.push_back(service);
+  this->Gain();
+  this->Apply(ConfigRead{50, config, "{}"});
+  constexpr int kServers = 60;
+  for (int i = 0; i < kServers; ++i) {
+    serving::BackendServer server = Server("start-" + std::to_string(i));
+    server.zone = std::string(1, static_cast<char>('a' + i % 3));
+    this->Apply(
+        ServerChanged{100U + static_cast<unsigned>(i), server.id, server});
+    EXPECT_FALSE(this->RunUntil<OrderServers>(milliseconds(100)))
+        << "after " << i << " servers";
+  }
+  const auto order = this->RunUntil<OrderServers>(seconds(3));
+  ASSERT_TRUE(order);
+  EXPECT_TRUE(order->reclaimable);
+  // Two thirds of the servers of the start, on two of three zones, and more.
+  EXPECT_GE(order->count, kServers * 2 / 3 / 2);
+}
+
 TEST_F(DutyTest, HolderSavesQuotaLevelsAndRestartsTakeFreshOnes) {
   this->Gain();
   serving::TrafficReport report;
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -21,6 +21,9 @@
 constexpr uint32_t kMaxDoublings = 8;
 constexpr double kJitterFloor = 0.5;
 
+/** Number of the first holder of a duty. */
+constexpr FencingNumber kFirstFencing{1};
+
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -130,11 +133,20 @@
            (!this->duty.seen && this->duty.highest.value > 0);
   }
 
+  /** No member removes the object; where there is none, nobody has held the
+   * duty yet. @pre The object has been read. */
+  bool NeverHeld() const {
+    return !this->duty.seen->version && this->duty.highest.value == 0;
+  }
+
   bool MayWrite() const {
     const Observation& seen = *this->duty.seen;
     if (this->SeenAsHolder()) {
       return true;
     }
+    if (this->NeverHeld()) {
+      return this->duty.wanted;
+    }
     return this->duty.wanted &&
            (seen.record.released ||
             this->now >= seen.first_seen + this->state.timing.lease_time);
@@ -202,9 +214,12 @@
     if (continued) {
       this->duty.holding->expires = expires;
     } else {
-      this->duty.holding =
-          Holding{write.record.fencing, expires,
-                  write.sent_at + this->state.timing.order_bound};
+      // The first holder follows nobody whose orders could be outstanding.
+      const bool first = write.record.fencing == kFirstFencing;
+      this->duty.holding = Holding{
+          write.record.fencing, expires,
+          first ? write.sent_at
+                : write.sent_at + this->state.timing.order_bound};
     }
     if (this->now < expires && !this->duty.announced) {
       this->duty.announced = true;
@@ -258,7 +273,8 @@
           this->now + this->Jitter(this->state.timing.renew_period);
       return;
     }
-    if (this->SeenAsHolder() || this->duty.seen->record.released) {
+    if (this->SeenAsHolder() || this->duty.seen->record.released ||
+        this->NeverHeld()) {
       this->duty.next_call = this->now;
       return;
     }
--- a/packages/lease/tests/lease_test.cc
+++ b/packages/lease/tests/lease_test.cc
@@ -68,6 +68,17 @@
   EXPECT_EQ(holding.settled_from - now, kOrderBound);
 }
 
+// Guards against seconds without a holder when a deployment starts: where no
+// lease was ever written, there is nobody to wait for.
+TEST_F(LeaseTest, FirstHolderActsAtOnce) {
+  this->Apply(LeaseReadFailed{kDuty, ResultCode::kStoreNotFound});
+  const auto* write = Find<WriteLease>();
+  ASSERT_NE(write, nullptr);
+  EXPECT_FALSE(write->expected);
+  this->Apply(LeaseWritten{kDuty, {"v1"}});
+  EXPECT_TRUE(MayActOn(ServerFencing::kIgnored));
+}
+
 // Guards against a holder that counts its lease from the arrival of the
 // answer, or acts after a pause.
 TEST_F(LeaseTest, LeaseCountsFromBeforeTheWriteWasSent) {
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -53,7 +53,11 @@
 
   /** Takes over the load of the other nodes. */
   void UpdatePeerLoads(
-      const std::map<serving::NameHash, serving::ServerLoad>& loads);
+      const std::map<serving::NameHash, serving::ServerLoad>& loads,
+      TimePoint now);
+
+  /** When the load of the other nodes was last taken over. */
+  TimePoint PeerLoadsAt() const { return this->peer_loads_at; }
 
   /** Server by id, or nullptr. */
   std::shared_ptr<PooledServer> Find(std::string_view id) const;
@@ -114,6 +118,7 @@
   std::map<std::string, std::string> zone_regions;
   std::map<std::string, std::shared_ptr<PooledServer>, std::less<>> servers;
   std::vector<uint64_t> crashers;
+  TimePoint peer_loads_at;
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -183,6 +183,10 @@
   if (!choice) {
     return nullptr;
   }
+  const serving::ServerView& view = views[choice->index];
+  this->chosen_by = {static_cast<int64_t>(choice->expected_ms), view.running,
+                     view.prefill_tokens,
+                     Millis(now - this->core.pool.PeerLoadsAt())};
   return candidates[choice->index];
 }
 
@@ -439,6 +443,11 @@
        {"sends", this->sends},
        {"events", this->events},
        {"first_event_ms", first_event},
+       {"prompt_tokens", this->request.facts.prompt_tokens},
+       {"expected_ms", this->chosen_by.expected_ms},
+       {"running_seen", this->chosen_by.running},
+       {"prefill_seen", this->chosen_by.prefill_tokens},
+       {"load_age_ms", this->chosen_by.load_age_ms},
        {"total_ms", Millis(now - this->arrived)},
        {"status", status},
        {"outcome", outcome}});
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -50,6 +50,14 @@
   void OnFailure(serving::AttemptFailure failure) override;
 
  private:
+  /** What the last choice of a server rested on, for the log. */
+  struct ChoiceInputs {
+    int64_t expected_ms = -1;  ///< Expected time to the first token.
+    uint32_t running = 0;      ///< Requests at the server.
+    uint64_t prefill_tokens = 0;
+    int64_t load_age_ms = -1;  ///< Age of the other nodes' report.
+  };
+
   /** A request under way at a server. */
   struct Attempt {
     std::shared_ptr<PooledServer> server;
@@ -123,6 +131,7 @@
   TimePoint route_deadline;
   TimePoint client_deadline;
   std::optional<Attempt> attempt;
+  ChoiceInputs chosen_by;
   std::vector<std::string> tried;  ///< Servers that failed it.
   uint32_t sends = 0;              ///< Servers to which it was sent.
   bool may_have_run = false;
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -118,7 +118,9 @@
 }
 
 void ServerPool::UpdatePeerLoads(
-    const std::map<serving::NameHash, serving::ServerLoad>& loads) {
+    const std::map<serving::NameHash, serving::ServerLoad>& loads,
+    TimePoint now) {
+  this->peer_loads_at = now;
   for (auto& [id, pooled] : this->servers) {
     const auto found = loads.find(serving::HashName(id));
     pooled->peers =
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -52,7 +52,7 @@
              limits.first_start ? 1.0 : kRestartFill,
              !limits.first_start),
       budget(limits.retry_ratio, limits.retry_extra, limits.retry_window),
-      engine_policy(serving::MakeExpectedDelayPolicy()),
+      engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {}
@@ -119,7 +119,7 @@
     this->quotas.SetInformed();
   }
   this->quotas.SetSilentShare(summary.silent_share);
-  this->pool.UpdatePeerLoads(summary.loads);
+  this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
   if (!this->config) {
     return;
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -63,9 +63,11 @@
 /**
  * Least expected time to the first token, from the prompts that wait at each
  * server, the requests that run there, and the tokens of the request that the
- * server has not cached; bytes between regions count as time.
+ * server has not cached; bytes between regions count as time. Compares the
+ * servers that hold the prefix and a random few of the others.
+ * @param seed For the random choice; differs between nodes.
  */
-std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy();
+std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy(uint64_t seed);
 
 /** Fewest running requests, nearest first; for plain services. */
 std::unique_ptr<RoutingPolicy> MakeLeastRunningPolicy();
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <random>
 
 #include "serving/routing_policy_base.h"
 
@@ -35,6 +37,11 @@
 /** A prefix that is read again also costs its price, about its time again. */
 constexpr double kRecomputeWeight = 2.0;
 
+/** Servers compared for a request besides those that hold its prefix. More of
+ * them let nodes with the same old reports choose the same server. */
+constexpr size_t kSampledNear = 3;
+constexpr size_t kSampledFar = 2;
+
 /** Requests waiting at a server, per slot, beyond which it rejects more. */
 constexpr double kQueuePerSlot = 1.5;
 
@@ -95,8 +102,15 @@
   return owner;
 }
 
+/** Tokens of a request that a server has to read. */
+double MissingShared(const RouteRequest& request, bool cached) {
+  return cached ? 0 : request.shared_tokens;
+}
+
 class ExpectedDelayPolicy : public RoutingPolicy {
  public:
+  explicit ExpectedDelayPolicy(uint64_t seed) : generator(seed) {}
+
   std::optional<RouteChoice> Choose(
       const RouteRequest& request,
       std::span<const ServerView> candidates) override {
@@ -108,14 +122,11 @@
     }
     std::optional<RouteChoice> best;
     double best_cost = 0;
-    for (size_t i = 0; i < candidates.size(); ++i) {
+    for (const size_t i : this->Shortlist(candidates, near_owner, far_owner)) {
       const ServerView& view = candidates[i];
-      if (IsFull(view)) {
-        continue;
-      }
       const bool cached =
           view.prefix_cached || near_owner == i || far_owner == i;
-      const double missing = cached ? 0 : request.shared_tokens;
+      const double missing = MissingShared(request, cached);
       const double own_tokens =
           request.prompt_tokens -
           std::min(request.prompt_tokens, request.shared_tokens) + missing;
@@ -133,6 +144,43 @@
     }
     return best;
   }
+
+ private:
+  /**
+   * The servers to compare: those that hold the prefix, and a few at random.
+   * The reports of other nodes are old; if all nodes compared all servers,
+   * they would send to the same one until the next report.
+   */
+  std::vector<size_t> Shortlist(std::span<const ServerView> candidates,
+                                std::optional<size_t> near_owner,
+                                std::optional<size_t> far_owner) {
+    std::vector<size_t> listed;
+    std::vector<size_t> near;
+    std::vector<size_t> far;
+    std::vector<size_t> avoided;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+      const ServerView& view = candidates[i];
+      if (IsFull(view)) {
+        continue;
+      }
+      if (view.avoided) {
+        avoided.push_back(i);
+      } else if (view.prefix_cached || near_owner == i || far_owner == i) {
+        listed.push_back(i);
+      } else if (view.distance == Distance::kOtherRegion) {
+        far.push_back(i);
+      } else {
+        near.push_back(i);
+      }
+    }
+    std::sample(near.begin(), near.end(), std::back_inserter(listed),
+                kSampledNear, this->generator);
+    std::sample(far.begin(), far.end(), std::back_inserter(listed), kSampledFar,
+                this->generator);
+    return listed.empty() ? avoided : listed;
+  }
+
+  std::mt19937_64 generator;
 };
 
 class LeastRunningPolicy : public RoutingPolicy {
@@ -160,8 +208,8 @@
 
 }  // namespace
 
-std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy() {
-  return std::make_unique<ExpectedDelayPolicy>();
+std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy(uint64_t seed) {
+  return std::make_unique<ExpectedDelayPolicy>(seed);
 }
 
 std::unique_ptr<RoutingPolicy> MakeLeastRunningPolicy() {
--- a/packages/serving/tests/quota_test.cc
+++ b/packages/serving/tests/quota_test.cc
@@ -95,6 +95,7 @@
   double rate = 390000;
   double times_rate = 6;
   milliseconds period{200};  ///< Of each node's reports, staggered.
+  milliseconds delay{0};     ///< Between a report and its use elsewhere.
   double in_window = 0;      ///< Most admitted in any 8 s.
   double mean_rate = 0;      ///< Over the whole run.
 
@@ -116,6 +117,12 @@
     std::uniform_real_distribution<double> size(500, 24000);
     std::uniform_int_distribution<size_t> pick(0, this->nodes - 1);
     std::deque<std::pair<TimePoint, double>> admitted;
+    struct Report {
+      TimePoint due;
+      size_t from = 0;
+      double amount = 0;
+    };
+    std::deque<Report> under_way;
     double sum_in_window = 0;
     double total = 0;
     const std::chrono::duration<double> gap(12250 /
@@ -130,12 +137,16 @@
         const auto found = tables[from].Admitted().find("school");
         const double sum =
             found == tables[from].Admitted().end() ? 0 : found->second;
+        under_way.push_back({now + this->delay, from, sum - reported[from]});
+        reported[from] = sum;
+      }
+      for (; !under_way.empty() && under_way.front().due <= now;
+           under_way.pop_front()) {
         for (size_t to = 0; to < this->nodes; ++to) {
-          if (to != from) {
-            tables[to].DeductRemote("school", sum - reported[from]);
+          if (to != under_way.front().from) {
+            tables[to].DeductRemote("school", under_way.front().amount);
           }
         }
-        reported[from] = sum;
       }
       const double cost = size(generator);
       if (tables[pick(generator)].Admit(config.customers[0], cost, now)) {
@@ -214,6 +225,20 @@
   EXPECT_GE(hot.mean_rate, 0.85 * hot.rate) << "the quota is used";
 }
 
+// Pattern: hot tenant at 79 nodes, whose reports also wait for the next summary
+// of each node (found as QUOTA on kbtc-wharf-grown scale-2).
+TEST(QuotaTableTest, LateReportsKeepAHotCustomerWithinItsQuota) {
+  HotCustomer hot;
+  hot.nodes = 79;
+  hot.rate = 1125000;
+  hot.times_rate = 4;
+  hot.period = milliseconds(900);
+  hot.delay = milliseconds(400);
+  hot.Run(seconds(40));
+  EXPECT_LE(hot.in_window, hot.Allowed());
+  EXPECT_GE(hot.mean_rate, 0.85 * hot.rate) << "the quota is used";
+}
+
 // Pattern: a customer that stays below its quota is never refused, however
 // its requests are spread.
 TEST(QuotaTableTest, CustomerBelowItsQuotaIsServed) {
--- a/packages/serving/tests/routing_policy_test.cc
+++ b/packages/serving/tests/routing_policy_test.cc
@@ -28,7 +28,7 @@
 
   std::vector<std::unique_ptr<BackendServer>> servers;
   std::vector<ServerView> views;
-  std::unique_ptr<RoutingPolicy> engine = MakeExpectedDelayPolicy();
+  std::unique_ptr<RoutingPolicy> engine = MakeExpectedDelayPolicy(1);
   std::unique_ptr<RoutingPolicy> plain = MakeLeastRunningPolicy();
 };
 
