Assume the use of quotas by nodes between their reports

After the cut all that the silent nodes had used was deducted at once, though their share had been kept for them, so customers below their quota were refused. Change: what a node has probably admitted since its last report is told to the traffic side in advance, and corrected by the report.

--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -36,11 +36,18 @@
   std::map<std::pair<std::string, uint64_t>, ByWindow> counts;
 };
 
+/** Use of one customer's quota by another node. */
+struct RemoteUse {
+  double rate = 0;     ///< Units per second, smoothed.
+  double assumed = 0;  ///< Units told to the traffic side before the report.
+};
+
 /** A node as last heard. */
 struct PeerEntry {
   serving::NodeStatus status;
   serving::TrafficReport report;
   TimePoint heard;
+  std::map<serving::NameHash, RemoteUse> use;  ///< By customer.
   std::optional<TimePoint> fetch_failed;  ///< Last failure to get its state.
 };
 
@@ -81,7 +88,11 @@
   /** Addresses heard recently, to tell others; at most @p bound. */
   std::vector<uint32_t> RecentIps(size_t bound, TimePoint now) const;
 
-  /** What the traffic side needs; consumes the admitted quota units. */
+  /**
+   * What the traffic side needs; consumes the admitted quota units. What a
+   * node has probably admitted since its last report is told in advance, and
+   * corrected once the report arrives.
+   */
   serving::PeerSummary TakeSummary(Duration period, TimePoint now);
 
   /** Nodes that have been heard within a few periods and are ready. */
@@ -99,7 +110,13 @@
   std::map<std::string, PeerEntry, std::less<>> peers;
   std::set<std::string, std::less<>> seeds;  ///< Told of.
   TimePoint last_new;                        ///< When a node was first heard.
-  std::map<serving::NameHash, uint64_t> admitted;
+  void NoteAdmitted(const serving::PeerMessage& message,
+                    PeerEntry* known,
+                    TimePoint now);
+  void AssumeAdmitted(PeerEntry& entry, TimePoint now);
+
+  Duration silent_after = Duration::max();
+  std::map<serving::NameHash, double> admitted;
 };
 
 /** Whether a node heard at @p heard counts as silent. */
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -16,6 +16,9 @@
 /** No node has appeared for this long: discovery has ended. */
 constexpr std::chrono::milliseconds kSettled(200);
 
+/** Time constant of a node's rate of use; a hot customer shows within it. */
+constexpr double kUseMemorySeconds = 0.7;
+
 /** One in so many nodes may be unheard; it may be down. */
 constexpr size_t kUnheardShare = 5;
 
@@ -96,27 +99,61 @@
       return News::kNone;
     }
   }
-  for (const auto& [customer, total] : message.report.admitted) {
-    uint64_t before = 0;
-    if (same_process) {
-      const auto found = known->second.report.admitted.find(customer);
-      before = found == known->second.report.admitted.end() ? 0 : found->second;
-    }
-    // Refunds can lower the total.
-    if (total > before) {
-      this->admitted[customer] += total - before;
-    }
-  }
+  this->NoteAdmitted(message, same_process ? &known->second : nullptr, now);
   if (!same_process) {
     this->last_new = now;
   }
   PeerEntry& entry = this->peers[status.ip];
+  if (!same_process) {
+    entry.use.clear();
+  }
   entry.status = status;
   entry.report = message.report;
   entry.heard = now;
   return same_process ? News::kUpdate : News::kNewProcess;
 }
 
+void PeerTable::NoteAdmitted(const serving::PeerMessage& message,
+                             PeerEntry* known,
+                             TimePoint now) {
+  for (const auto& [customer, total] : message.report.admitted) {
+    if (known == nullptr) {
+      this->admitted[customer] += static_cast<double>(total);
+      continue;
+    }
+    const auto found = known->report.admitted.find(customer);
+    const uint64_t before =
+        found == known->report.admitted.end() ? 0 : found->second;
+    // Refunds can lower the total.
+    auto used = static_cast<double>(total > before ? total - before : 0);
+    RemoteUse& use = known->use[customer];
+    if (now - known->heard > this->silent_after) {
+      // While it was silent its share of the rate was kept for it.
+      used = std::min(used, use.assumed);
+    } else {
+      const double passed =
+          std::chrono::duration<double>(now - known->heard).count();
+      if (passed > 0) {
+        use.rate +=
+            (used / passed - use.rate) * passed / (passed + kUseMemorySeconds);
+      }
+    }
+    this->admitted[customer] += used - use.assumed;
+    use.assumed = 0;
+  }
+}
+
+void PeerTable::AssumeAdmitted(PeerEntry& entry, TimePoint now) {
+  const std::chrono::duration<double> since =
+      entry.status.leaving ? Duration(0)
+                           : std::min(now - entry.heard, this->silent_after);
+  for (auto& [customer, use] : entry.use) {
+    const double expected = use.rate * since.count();
+    this->admitted[customer] += expected - use.assumed;
+    use.assumed = expected;
+  }
+}
+
 void PeerTable::NoteFetchFailed(std::string_view ip, TimePoint now) {
   const auto found = this->peers.find(ip);
   if (found != this->peers.end()) {
@@ -174,8 +211,10 @@
 serving::PeerSummary PeerTable::TakeSummary(Duration period, TimePoint now) {
   serving::PeerSummary summary;
   uint32_t silent = 0;
-  for (const auto& [ip, entry] : this->peers) {
+  this->silent_after = kSilentPeriods * period;
+  for (auto& [ip, entry] : this->peers) {
     summary.nodes += 1;
+    this->AssumeAdmitted(entry, now);
     for (const auto& [fingerprint, count] : entry.report.crashes) {
       summary.crashes[fingerprint] += count;
     }
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -127,8 +127,7 @@
   for (const serving::Customer& customer : this->config->customers) {
     const auto found = summary.admitted.find(serving::HashName(customer.name));
     if (found != summary.admitted.end()) {
-      this->quotas.DeductRemote(customer.name,
-                                static_cast<double>(found->second));
+      this->quotas.DeductRemote(customer.name, found->second);
     }
   }
 }
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -113,7 +113,9 @@
   uint32_t nodes = 1;          ///< Known nodes, this one included.
   double silent_share = 0;     ///< Share of nodes that may be cut off.
   int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
-  std::map<NameHash, uint64_t> admitted;  ///< New since the last summary.
+  /** Quota units since the last summary; negative where too much was assumed
+   * before. */
+  std::map<NameHash, double> admitted;
   std::map<NameHash, ServerLoad> loads;   ///< Of all other nodes.
   std::map<uint64_t, uint32_t> crashes;   ///< Of all other nodes.
 };
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -45,7 +45,8 @@
   /** Returns the cost of an admitted request that did not run. */
   void Refund(std::string_view customer, double cost);
 
-  /** Deducts what other nodes admitted since their last report. */
+  /** Deducts what other nodes admitted; a negative cost corrects an earlier
+   * assumption. */
   void DeductRemote(std::string_view customer, double cost);
 
   /** The reports of the other nodes arrive from now on. */
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -143,7 +143,8 @@
 void QuotaTable::DeductRemote(std::string_view customer, double cost) {
   const auto found = this->buckets.find(customer);
   if (found != this->buckets.end()) {
-    found->second.level -= cost;
+    Bucket& bucket = found->second;
+    bucket.level = std::min(bucket.burst, bucket.level - cost);
   }
 }
 
