Let each node use its share of a large quota that is nearly used up

Change: below half of its burst, a large quota is used by each node at its share of the rate; small quotas stay pooled, as what is used between two reports is within the allowed excess.

--- a/packages/fleet/tests/quota_spread_test.cc
+++ b/packages/fleet/tests/quota_spread_test.cc
@@ -142,6 +142,20 @@
   EXPECT_GE(result.share * model.times_rate, 0.85) << "the quota is used";
 }
 
+// Pattern: hot tenant with six times its quota, no cut. Guards against all
+// nodes using the same refill between two reports, and being in debt for
+// seconds.
+TEST(QuotaSpreadTest, NodesDoNotRushForTheSameRefill) {
+  for (const double times_rate : {1.5, 3.0, 6.0}) {
+    SpreadModel model;
+    model.times_rate = times_rate;
+    model.cut_nodes = 0;
+    const SpreadResult result = PlaySpread(model);
+    EXPECT_LE(result.in_window, model.rate * 9 * 1.1 + 140000) << times_rate;
+    EXPECT_GE(result.share * model.times_rate, 0.9) << times_rate;
+  }
+}
+
 // Pattern: a customer below its quota, before, during and after the cut.
 TEST(QuotaSpreadTest, CustomerBelowItsQuotaIsServedThroughACut) {
   SpreadModel model;
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,7 +22,8 @@
 /**
  * Token buckets of all customers. Each node deducts what it admits at once and
  * what the other nodes admit when they report it. For nodes that are silent
- * their equal share of the rate is deducted, as they may still admit.
+ * their equal share of the rate is deducted, as they may still admit. While a
+ * large quota is nearly used up, each node admits at its share of the rate.
  *
  * Not thread-safe.
  */
@@ -62,7 +64,7 @@
   void Restore(const std::map<std::string, double>& levels, Duration age);
 
   /** Sets the number of nodes that share the quotas; at least 1. */
-  void SetNodes(uint32_t count) { this->nodes = count; }
+  void SetNodes(uint32_t count) { this->nodes = std::max(1U, count); }
 
   /** Sets the share of nodes that are silent, 0 to 1. */
   void SetSilentShare(double share) { this->silent_share = share; }
@@ -80,11 +82,14 @@
     double rate = 0;
     double burst = 0;
     double level = 0;
-    double reserve = 0;  ///< Part of the level for the other nodes.
+    double reserve = 0;    ///< Part of the level for the other nodes.
+    double own_level = 0;  ///< What this node may use of its own share.
     TimePoint updated;
   };
 
   void Refill(Bucket& bucket, TimePoint now) const;
+  double OwnBurst(const Bucket& bucket) const;
+  bool Pooled(const Bucket& bucket) const;
   void RestoreBucket(const std::string& customer, Bucket& bucket) const;
 
   double overdraft;
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -13,6 +13,18 @@
  * it has heard of the others; the smallest deployments have six. */
 constexpr uint32_t kAssumedNodes = 6;
 
+/** Fill of a bucket, relative to its burst, down to which any node may use all
+ * of it. Below it each node uses its own share, or all nodes would use the same
+ * refill before they hear of each other. */
+constexpr double kPooledFill = 0.5;
+
+/** Part of its share that a node uses then; the rest pays the debt off. */
+constexpr double kShareUse = 0.95;
+
+/** Rate, relative to the allowed overdraft, below which all that the nodes can
+ * use between two reports is within the excess that the deployment allows. */
+constexpr double kSmallRate = 5;
+
 }  // namespace
 
 double QuotaCost(const Customer& customer, const RequestFacts& facts) {
@@ -46,6 +58,7 @@
     bucket.rate = customer.rate_per_second;
     bucket.burst = customer.burst;
     bucket.level = std::min(bucket.level, bucket.burst);
+    bucket.own_level = std::min(bucket.own_level, this->OwnBurst(bucket));
     if (found == this->buckets.end()) {
       this->RestoreBucket(customer.name, bucket);
     }
@@ -111,6 +124,19 @@
     rate = bucket.rate / std::max(this->nodes, kAssumedNodes);
   }
   bucket.level = std::min(bucket.burst, bucket.level + rate * passed.count());
+  const double share = kShareUse * bucket.rate / this->nodes;
+  bucket.own_level = std::min(this->OwnBurst(bucket),
+                              bucket.own_level + share * passed.count());
+}
+
+double QuotaTable::OwnBurst(const Bucket& bucket) const {
+  return bucket.burst / this->nodes;
+}
+
+bool QuotaTable::Pooled(const Bucket& bucket) const {
+  return !this->informed || this->nodes == 1 ||
+         bucket.rate <= kSmallRate * this->overdraft ||
+         bucket.level >= kPooledFill * bucket.burst;
 }
 
 bool QuotaTable::Admit(const Customer& customer, double cost, TimePoint now) {
@@ -119,10 +145,18 @@
     Bucket& bucket = found->second;
     this->Refill(bucket, now);
     const double allowed = this->informed ? this->overdraft : 0;
-    if (bucket.level + allowed < cost) {
+    const bool pooled = this->Pooled(bucket);
+    const bool enough = pooled ? bucket.level + allowed >= cost
+                               : bucket.own_level > 0 &&
+                                     bucket.level > -kPooledFill * bucket.burst;
+    if (!enough) {
       return false;
     }
     bucket.level -= cost;
+    bucket.own_level -= cost;
+    if (pooled) {
+      bucket.own_level = std::max(bucket.own_level, -this->OwnBurst(bucket));
+    }
   }
   this->admitted[customer.name] += cost;
   return true;
@@ -131,8 +165,10 @@
 void QuotaTable::Refund(std::string_view customer, double cost) {
   const auto found = this->buckets.find(customer);
   if (found != this->buckets.end()) {
-    found->second.level =
-        std::min(found->second.burst, found->second.level + cost);
+    Bucket& bucket = found->second;
+    bucket.level = std::min(bucket.burst, bucket.level + cost);
+    bucket.own_level =
+        std::min(this->OwnBurst(bucket), bucket.own_level + cost);
   }
   const auto total = this->admitted.find(customer);
   if (total != this->admitted.end()) {
@@ -154,8 +190,12 @@
   if (found == this->buckets.end() || found->second.rate <= 0) {
     return Milliseconds(0);
   }
-  const double missing = cost - this->overdraft - found->second.level;
-  const double seconds = std::max(0.0, missing / found->second.rate);
+  const Bucket& bucket = found->second;
+  double seconds = (cost - this->overdraft - bucket.level) / bucket.rate;
+  if (!this->Pooled(bucket)) {
+    seconds = -bucket.own_level * this->nodes / (kShareUse * bucket.rate);
+  }
+  seconds = std::max(0.0, seconds);
   return Milliseconds(static_cast<int64_t>(seconds * 1000));
 }
 
