--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -216,10 +216,10 @@
     } else {
       // The first holder follows nobody whose orders could be outstanding.
       const bool first = write.record.fencing == kFirstFencing;
-      this->duty.holding = Holding{
-          write.record.fencing, expires,
-          first ? write.sent_at
-                : write.sent_at + this->state.timing.order_bound};
+      this->duty.holding =
+          Holding{write.record.fencing, expires,
+                  first ? write.sent_at
+                        : write.sent_at + this->state.timing.order_bound};
     }
     if (this->now < expires && !this->duty.announced) {
       this->duty.announced = true;
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -116,8 +116,8 @@
   /** Quota units since the last summary; negative where too much was assumed
    * before. */
   std::map<NameHash, double> admitted;
-  std::map<NameHash, ServerLoad> loads;   ///< Of all other nodes.
-  std::map<uint64_t, uint32_t> crashes;   ///< Of all other nodes.
+  std::map<NameHash, ServerLoad> loads;  ///< Of all other nodes.
+  std::map<uint64_t, uint32_t> crashes;  ///< Of all other nodes.
 };
 
 }  // namespace boragewharf::serving
