--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -1,55 +1,23 @@
 /**
  * @file fleet_cmd.cc
- * Configuration, servers, other nodes and the time of day.
+ * Configuration, servers and the time of day.
  */
 #include "fleet/fleet_cmd.h"
 
 #include <algorithm>
 #include <cstdlib>
-#include <set>
-#include <tuple>
 
 #include "duty_cmd.h"
-#include "lease/lease_cmd.h"
+#include "spread_cmd.h"
 
 namespace boragewharf::fleet {
 namespace {
 
 using std::chrono::milliseconds;
 
-/** Least time between datagrams to the same node. */
-constexpr milliseconds kMessagePeriod(200);
-
-/** Further time for each node, so that sending costs a bounded share. */
-constexpr milliseconds kPeriodPerNode(6);
-
-/** A restarted node counts as informed after this at the latest. */
-constexpr milliseconds kInformedAfter(2000);
-
-/** A node is not asked again for this long after a failed fetch. */
-constexpr std::chrono::seconds kFetchForgiveness(2);
-
-/** Addresses told in a datagram, so that it fits one packet. */
-constexpr size_t kMaxKnownIps = 16;
-
-/** Others may be ahead for this long before their state is fetched: the own
- * watch usually delivers it meanwhile. */
-constexpr milliseconds kFetchDelay(250);
-
-/** Nodes that learn changes from the store; the others learn from them. Each
- * change costs each of them a call. */
-constexpr size_t kStoreFollowers = 3;
-
-/** A node stops following the store after this many others have done so for
- * this time. */
-constexpr std::chrono::seconds kFollowerSettle(1);
-
 /** Changes of servers kept for nodes that are behind. */
 constexpr size_t kKeptChanges = 256;
 
-/** Time between fetches. */
-constexpr milliseconds kFetchPeriod(400);
-
 /** After an outage of the store, servers that it lost are back within two
  * seconds if they live. */
 constexpr milliseconds kReturnTime(1900);
@@ -63,10 +31,6 @@
 /** Saved quota levels that are older say nothing of the quotas' windows. */
 constexpr milliseconds kQuotaMemory(10000);
 
-/** Nodes named to a client; the nearest of them if there are enough. */
-constexpr size_t kEnoughEntries = 2;
-constexpr size_t kMaxEntries = 64;
-
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -74,11 +38,6 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-int64_t BootMs(TimePoint now) {
-  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
-      .count();
-}
-
 void PublishServerList(FleetState& state,
                        TimePoint now,
                        std::vector<Effect>& effects) {
@@ -314,168 +273,6 @@
                                  state.config_revision});
 }
 
-/** What all nodes are told. */
-serving::PeerMessage MakeMessage(FleetState& state, TimePoint now) {
-  serving::PeerMessage message;
-  message.format = serving::kPeerFormat;
-  message.status.name = state.settings.node_name;
-  message.status.ip = state.settings.ip;
-  message.status.zone = state.settings.zone;
-  message.status.region = state.settings.region;
-  message.status.incarnation = state.settings.incarnation;
-  message.status.sequence = ++state.sequence;
-  message.status.ready = IsReady(state);
-  message.status.leaving = state.leaving;
-  message.status.follows_store = state.following && state.store_reachable;
-  message.status.holds_duties = HoldsDuties(state, now);
-  message.status.config_revision = state.config_revision;
-  message.status.servers_revision = state.servers_revision;
-  message.status.wall_ms = state.wall_offset_ms.value_or(0) + BootMs(now);
-  message.report.admitted = state.report.admitted;
-  message.report.crashes = state.report.crashes;
-  message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
-  return message;
-}
-
-/**
- * Tells the other nodes. Loads are of use in the own region only, usage and
- * demand to the nodes that may hold the duties: bytes between regions are
- * dear.
- */
-void SendMessage(FleetState& state,
-                 TimePoint now,
-                 std::vector<Effect>& effects) {
-  if (now < state.next_message) {
-    return;
-  }
-  state.next_message = now + MessagePeriod(state);
-  state.peers.Expire(now);
-  const bool to_all = state.far_turn || state.leaving;
-  state.far_turn = !state.far_turn;
-  const serving::PeerMessage base = MakeMessage(state, now);
-  std::map<std::pair<bool, bool>, std::vector<std::string>> groups;
-  const std::set<std::string> duty_nodes = DutyNodes(state, now);
-  for (const std::string& ip : state.peers.Targets()) {
-    const auto known = state.peers.All().find(ip);
-    const bool near = known == state.peers.All().end() ||
-                      known->second.status.region == state.settings.region;
-    if (near || to_all) {
-      groups[{near, duty_nodes.contains(ip)}].push_back(ip);
-    }
-  }
-  for (auto& [group, ips] : groups) {
-    SendToPeers send{std::move(ips), base};
-    if (group.first) {
-      send.message.report.loads = state.report.loads;
-    }
-    if (group.second) {
-      send.message.report.usage = state.report.usage;
-      send.message.report.demand = state.report.demand;
-    }
-    effects.emplace_back(std::move(send));
-  }
-  serving::PeerSummary summary =
-      state.peers.TakeSummary(MessagePeriod(state), now);
-  summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
-  summary.informed =
-      state.peers.Informed(now) || now - state.started > kInformedAfter;
-  effects.emplace_back(PublishPeers{std::move(summary)});
-}
-
-/** A change that the store told is passed on without delay. */
-void HastenMessage(FleetState& state, TimePoint now) {
-  if (state.following) {
-    state.next_message = now;
-    state.far_turn = true;
-  }
-}
-
-/**
- * Lets the nodes with the lowest ranks follow the store. A node that hears of
- * too few others which do so follows it itself.
- */
-void DecideFollowing(FleetState& state,
-                     TimePoint now,
-                     std::vector<Effect>& effects) {
-  const uint32_t own_rank = serving::HashName(state.settings.ip);
-  size_t others = 0;
-  for (const auto& [ip, entry] : state.peers.All()) {
-    const bool follows = entry.status.follows_store && !entry.status.leaving &&
-                         !IsSilent(entry.heard, MessagePeriod(state), now);
-    others += follows && serving::HashName(ip) < own_rank ? 1 : 0;
-  }
-  if (others < kStoreFollowers) {
-    state.enough_followers_since.reset();
-  } else if (!state.enough_followers_since) {
-    state.enough_followers_since = now;
-  }
-  const bool settled = state.enough_followers_since &&
-                       now - *state.enough_followers_since >= kFollowerSettle;
-  // The holder of the duties replaces servers the sooner it hears of a loss.
-  const bool follow = !settled || !state.config || !state.servers_known ||
-                      HoldsDuties(state, now);
-  if (follow != state.following) {
-    state.following = follow;
-    effects.emplace_back(FollowStore{follow});
-    effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
-                                   state.servers_revision});
-  }
-}
-
-/** Whether a node has something newer and can probably be asked for it. */
-bool IsSource(const FleetState& state, const PeerEntry& entry, TimePoint now) {
-  const bool newer = entry.status.config_revision > state.config_revision ||
-                     entry.status.servers_revision > state.servers_revision;
-  const bool failed =
-      entry.fetch_failed && now - *entry.fetch_failed < kFetchForgiveness;
-  return newer && !failed && !IsSilent(entry.heard, MessagePeriod(state), now);
-}
-
-/**
- * The node to ask: one of the newest, in the own region if one there is as
- * new. Which one differs from node to node, so that none is asked by all.
- */
-const PeerEntry* FindSource(const FleetState& state, TimePoint now) {
-  const PeerEntry* best = nullptr;
-  const auto rank = [&](const PeerEntry& entry) {
-    return std::tuple(entry.status.config_revision,
-                      entry.status.servers_revision,
-                      entry.status.region == state.settings.region,
-                      serving::HashName(entry.status.ip + state.settings.ip));
-  };
-  for (const auto& [ip, entry] : state.peers.All()) {
-    if (!IsSource(state, entry, now)) {
-      continue;
-    }
-    if (best == nullptr || rank(entry) > rank(*best)) {
-      best = &entry;
-    }
-  }
-  return best;
-}
-
-/** Fetches newer state from another node, where the own watch lags. */
-void CatchUp(FleetState& state, TimePoint now, std::vector<Effect>& effects) {
-  const PeerEntry* source = FindSource(state, now);
-  if (source == nullptr) {
-    state.behind_since.reset();
-    return;
-  }
-  if (!state.behind_since) {
-    state.behind_since = now;
-  }
-  const bool due = !state.following ||
-                   now - *state.behind_since >= kFetchDelay ||
-                   !state.servers_known || !state.config;
-  if (!due || state.fetching || now < state.next_fetch) {
-    return;
-  }
-  state.fetching = true;
-  state.next_fetch = now + kFetchPeriod;
-  effects.emplace_back(FetchState{source->status.ip, state.config_revision,
-                                  state.servers_revision});
-}
-
 }  // namespace
 
 FleetState::FleetState(FleetSettings fixed)
@@ -494,38 +291,10 @@
          (draw & ((1U << kDrawBits) - 1));
 }
 
-Duration MessagePeriod(const FleetState& state) {
-  const auto nodes = static_cast<int64_t>(state.peers.All().size());
-  return std::max<Duration>(kMessagePeriod, nodes * kPeriodPerNode);
-}
-
 bool IsReady(const FleetState& state) {
   return state.config != nullptr && state.servers_known && !state.leaving;
 }
 
-std::vector<std::string> EntryAddresses(const FleetState& state,
-                                        std::string_view region,
-                                        TimePoint now) {
-  std::vector<std::string> near;
-  std::vector<std::string> far;
-  const auto add = [&](const std::string& ip, std::string_view node_region) {
-    (node_region == region ? near : far).push_back(ip);
-  };
-  if (IsReady(state)) {
-    add(state.settings.ip, state.settings.region);
-  }
-  for (const PeerEntry* entry : state.peers.Ready(MessagePeriod(state), now)) {
-    add(entry->status.ip, entry->status.region);
-  }
-  if (near.size() < kEnoughEntries) {
-    near.insert(near.end(), far.begin(), far.end());
-  }
-  if (near.size() > kMaxEntries) {
-    near.resize(kMaxEntries);
-  }
-  return near;
-}
-
 void Reduce(FleetState& state,
             const Event& event,
             TimePoint now,
--- /dev/null
+++ b/packages/fleet/tests/duty_test.cc
@@ -0,0 +1,172 @@
+/**
+ * @file duty_test.cc
+ * Usage reports and orders of the node that holds the duties.
+ */
+#include <gtest/gtest.h>
+
+#include "fleet_fixture.h"
+#include "lease/lease_func.h"
+
+namespace boragewharf::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A node that has gained the duties. */
+class DutyTest : public FleetTest {
+ protected:
+  void Gain() {
+    this->Configure();
+    for (int i = 0; i < 200 && !this->Holds(); ++i) {
+      this->now += kTickPeriod;
+      this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+      this->AnswerLease();
+    }
+    ASSERT_TRUE(this->Holds());
+  }
+
+  bool Holds() const {
+    return lease::MayAct(this->state.lease, kDutyLease,
+                         lease::ServerFencing::kIgnored, this->now)
+        .has_value();
+  }
+
+  void AnswerLease() {
+    const std::vector<Effect> calls = this->effects;
+    for (const Effect& effect : calls) {
+      const auto* call = std::get_if<LeaseCall>(&effect);
+      if (call == nullptr) {
+        continue;
+      }
+      if (std::holds_alternative<lease::ReadLease>(call->call)) {
+        this->Apply(LeaseEvent{
+            lease::LeaseReadFailed{kDutyLease, ResultCode::kStoreNotFound}});
+        this->AnswerLease();
+      } else if (std::holds_alternative<lease::WriteLease>(call->call)) {
+        ++this->version;
+        this->Apply(LeaseEvent{
+            lease::LeaseWritten{kDutyLease, {std::to_string(this->version)}}});
+      }
+    }
+  }
+
+  /** Runs until an effect of a kind appears, answering the lease. */
+  template <class Wanted>
+  std::optional<Wanted> RunUntil(Duration limit) {
+    const TimePoint end = this->now + limit;
+    while (this->now < end) {
+      this->now += kTickPeriod;
+      this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+      // A call of the lease in the same step is answered as well.
+      std::vector<Effect> seen = this->effects;
+      this->AnswerLease();
+      this->effects = std::move(seen);
+      if (const Wanted* found = this->Find<Wanted>()) {
+        return *found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  uint64_t version = 0;
+};
+
+// The counts are fixed in the store before they are sent, so that a successor
+// repeats exactly them.
+TEST_F(DutyTest, UsageIsFixedBeforeItIsSentAndSentAsFixed) {
+  this->Gain();
+  serving::TrafficReport report;
+  const int64_t wall = kWall + (this->now - TimePoint{}) / milliseconds(1);
+  const int64_t window = wall / 5000;
+  report.usage[window][serving::HashName("school")] = 7;
+  this->Apply(TrafficReported{report});
+  std::optional<FixUsage> fix;
+  do {
+    fix = this->RunUntil<FixUsage>(seconds(12));
+    ASSERT_TRUE(fix);
+    EXPECT_EQ(this->Find<SendUsage>(), nullptr);
+    if (fix->window != window) {
+      this->Apply(UsageFixed{fix->window, fix->counts});
+    }
+  } while (fix->window != window);
+  EXPECT_EQ(fix->counts.at("school"), 7U);
+  // Another holder has fixed other counts before.
+  this->Apply(UsageFixed{window, NamedCounts{{"school", 9}}});
+  std::optional<SendUsage> send;
+  do {
+    send = this->RunUntil<SendUsage>(seconds(5));
+    ASSERT_TRUE(send);
+    if (send->window != window) {
+      this->Apply(UsageSent{send->window, true});
+    }
+  } while (send->window != window);
+  EXPECT_EQ(send->counts.at("school"), 9U);
+  // A lost answer repeats the same counts.
+  this->Apply(UsageSent{window, false});
+  send = this->RunUntil<SendUsage>(seconds(3));
+  ASSERT_TRUE(send);
+  EXPECT_EQ(send->window, window);
+  EXPECT_EQ(send->counts.at("school"), 9U);
+}
+
+TEST_F(DutyTest, NothingIsSentOnceTheLeaseHasLapsed) {
+  this->Gain();
+  this->now += seconds(30);  // Frozen.
+  this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+  EXPECT_EQ(this->Find<FixUsage>(), nullptr);
+  EXPECT_EQ(this->Find<SendUsage>(), nullptr);
+  EXPECT_FALSE(this->Holds());
+}
+
+// Pattern: start of a deployment. Servers register over seconds, and the duties
+// are held before all have. Guards against a fleet that is cut down to the few
+// servers seen first, just before the traffic begins.
+TEST_F(DutyTest, ServersOfTheStartAreCountedOnceAllHaveRegistered) {
+  this->state.settings.orders_servers = true;
+  auto config = Config(5);
+  serving::Service service;
+  service.name = "llm";
+  service.engine.emplace();
+  service.engine->slots = 12;
+  service.scaling.emplace();
+  service.scaling->min = 1;
+  service.scaling->max = 60;
+  service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}, {"c", 1.0}};
+  config->services.push_back(service);
+  this->Gain();
+  this->Apply(ConfigRead{50, config, "{}"});
+  constexpr int kServers = 60;
+  for (int i = 0; i < kServers; ++i) {
+    serving::BackendServer server = Server("start-" + std::to_string(i));
+    server.zone = std::string(1, static_cast<char>('a' + i % 3));
+    this->Apply(
+        ServerChanged{100U + static_cast<unsigned>(i), server.id, server});
+    EXPECT_FALSE(this->RunUntil<OrderServers>(milliseconds(100)))
+        << "after " << i << " servers";
+  }
+  const auto order = this->RunUntil<OrderServers>(seconds(3));
+  ASSERT_TRUE(order);
+  EXPECT_TRUE(order->reclaimable);
+  // Two thirds of the servers of the start, on two of three zones, and more.
+  EXPECT_GE(order->count, kServers * 2 / 3 / 2);
+}
+
+TEST_F(DutyTest, HolderSavesQuotaLevelsAndRestartsTakeFreshOnes) {
+  this->Gain();
+  serving::TrafficReport report;
+  report.quota_levels = {{"school", 12.5}};
+  this->Apply(TrafficReported{report});
+  const auto save = this->RunUntil<SaveQuotas>(seconds(3));
+  ASSERT_TRUE(save);
+  EXPECT_EQ(save->levels.at("school"), 12.5);
+  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 1700});
+  const auto* restore = this->Find<RestoreQuotas>();
+  ASSERT_NE(restore, nullptr);
+  EXPECT_EQ(restore->age, Duration(milliseconds(700)));
+  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 60000});
+  EXPECT_EQ(this->Find<RestoreQuotas>(), nullptr) << "too old to say anything";
+}
+
+}  // namespace
+}  // namespace boragewharf::fleet
--- a/packages/serving/tests/routing_load_test.cc
+++ b/packages/serving/tests/routing_load_test.cc
@@ -44,12 +44,12 @@
 };
 
 const std::vector<KindModel>& Kinds() {
-  static const std::vector<KindModel> kinds = {
+  static const std::vector<KindModel> kKinds = {
       {0.24, 6610, 1.04, 54600, 5382, 619, 42, 800},
       {0.21, 628, 0.83, 3310, 198, 787, 32, 400},
       {0.55, 1800, 0.99, 6870, 568, 3209, 2.5, 500},
   };
-  return kinds;
+  return kKinds;
 }
 
 /** An engine: prompts are read one after another, then the run holds a slot. */
