Tell nodes which server holds a prefix, and mend quotas after a restart

(1) Each node knew only its own sends, and took the server that rendezvous hashing names for the holder of a prefix.

Datagrams name the prefixes that a node sent to servers a moment ago. A server that does not hold the prefix copies it from one that does (the engines' fetch) instead of reading it again. The first report of a process that started before this one is a baseline for the quota.

--- a/packages/fleet/include/fleet/fleet_cmd.h
+++ b/packages/fleet/include/fleet/fleet_cmd.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fleet/fleet_type.h"
+#include "fleet/incarnation_func.h"
 
 namespace boragewharf::fleet {
 
@@ -21,14 +22,6 @@
             TimePoint now,
             std::vector<Effect>& effects);
 
-/**
- * Number of a process start: rises with the time, and differs between nodes
- * that start in the same millisecond.
- * @param draw Random bits.
- * @note Thread-safe.
- */
-uint64_t MakeIncarnation(int64_t wall_ms, uint32_t draw);
-
 /** Time between datagrams; grows with the fleet to bound their cost. */
 Duration MessagePeriod(const FleetState& state);
 
--- /dev/null
+++ b/packages/fleet/include/fleet/incarnation_func.h
@@ -0,0 +1,23 @@
+/**
+ * @file incarnation_func.h
+ * Numbers of the starts of a node's process.
+ */
+#pragma once
+
+#include <cstdint>
+
+namespace boragewharf::fleet {
+
+/**
+ * Number of a process start: rises with the time, and differs between nodes
+ * that start in the same millisecond.
+ * @param draw Random bits.
+ * @note Thread-safe.
+ */
+inline uint64_t MakeIncarnation(int64_t wall_ms, uint32_t draw) {
+  constexpr int kDrawBits = 22;
+  return (static_cast<uint64_t>(wall_ms) << kDrawBits) |
+         (draw & ((1U << kDrawBits) - 1));
+}
+
+}  // namespace boragewharf::fleet
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -54,8 +54,12 @@
 /** All other nodes. Not thread-safe. */
 class PeerTable {
  public:
-  /** @param self Address of this node; its own messages are ignored. */
-  explicit PeerTable(std::string self) : self_ip(std::move(self)) {}
+  /**
+   * @param self Address of this node; its own messages are ignored.
+   * @param started Incarnation of this process.
+   */
+  PeerTable(std::string self, uint64_t started)
+      : self_ip(std::move(self)), self_incarnation(started) {}
 
   /** Addresses at which other nodes may be, besides those heard of. */
   void AddSeeds(const std::vector<std::string>& ips);
@@ -106,16 +110,20 @@
   }
 
  private:
-  std::string self_ip;
-  std::map<std::string, PeerEntry, std::less<>> peers;
-  std::set<std::string, std::less<>> seeds;  ///< Told of.
-  TimePoint last_new;                        ///< When a node was first heard.
   void NoteAdmitted(const serving::PeerMessage& message,
                     PeerEntry* known,
                     TimePoint now);
   void AssumeAdmitted(PeerEntry& entry, TimePoint now);
+  bool StartedBefore(const serving::NodeStatus& status) const;
+  void NotePrefixes(const serving::TrafficReport& report);
 
+  std::string self_ip;
+  uint64_t self_incarnation;
+  std::map<std::string, PeerEntry, std::less<>> peers;
+  std::set<std::string, std::less<>> seeds;  ///< Told of.
+  TimePoint last_new;                        ///< When a node was first heard.
   Duration silent_after = Duration::max();
+  std::vector<serving::PrefixSend> prefixes;  ///< Since the last summary.
   std::map<serving::NameHash, double> admitted;
 };
 
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -277,7 +277,7 @@
 
 FleetState::FleetState(FleetSettings fixed)
     : settings(std::move(fixed)),
-      peers(settings.ip),
+      peers(settings.ip, settings.incarnation),
       scaling_policy(MakeZoneLossPolicy()) {
   this->peers.AddSeeds(this->settings.seed_ips);
   this->lease.self = MemberId{this->settings.incarnation};
@@ -285,12 +285,6 @@
   this->lease.generator.seed(this->settings.incarnation);
 }
 
-uint64_t MakeIncarnation(int64_t wall_ms, uint32_t draw) {
-  constexpr int kDrawBits = 22;
-  return (static_cast<uint64_t>(wall_ms) << kDrawBits) |
-         (draw & ((1U << kDrawBits) - 1));
-}
-
 bool IsReady(const FleetState& state) {
   return state.config != nullptr && state.servers_known && !state.leaving;
 }
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "fleet/incarnation_func.h"
+
 namespace boragewharf::fleet {
 namespace {
 
@@ -22,6 +24,13 @@
 /** One in so many nodes may be unheard; it may be down. */
 constexpr size_t kUnheardShare = 5;
 
+/** Nodes that restart at the same time start within this. */
+constexpr std::chrono::milliseconds kStartSpread(1500);
+
+/** Prefix sends kept between two summaries; bounds the memory of a node that
+ * is slow. */
+constexpr size_t kMaxPrefixNews = 8192;
+
 /** A silent node is forgotten after this; a cut lasts seconds. */
 constexpr std::chrono::seconds kForgetAfter(15);
 
@@ -100,6 +109,7 @@
     }
   }
   this->NoteAdmitted(message, same_process ? &known->second : nullptr, now);
+  this->NotePrefixes(message.report);
   if (!same_process) {
     this->last_new = now;
   }
@@ -109,6 +119,7 @@
   }
   entry.status = status;
   entry.report = message.report;
+  entry.report.prefixes.clear();
   entry.heard = now;
   return same_process ? News::kUpdate : News::kNewProcess;
 }
@@ -118,7 +129,10 @@
                              TimePoint now) {
   for (const auto& [customer, total] : message.report.admitted) {
     if (known == nullptr) {
-      this->admitted[customer] += static_cast<double>(total);
+      // What it admitted before this process started is in the saved levels.
+      if (!this->StartedBefore(message.status)) {
+        this->admitted[customer] += static_cast<double>(total);
+      }
       continue;
     }
     const auto found = known->report.admitted.find(customer);
@@ -143,6 +157,19 @@
   }
 }
 
+bool PeerTable::StartedBefore(const serving::NodeStatus& status) const {
+  const uint64_t together =
+      status.incarnation + MakeIncarnation(kStartSpread.count(), 0);
+  return together < this->self_incarnation;
+}
+
+void PeerTable::NotePrefixes(const serving::TrafficReport& report) {
+  if (this->prefixes.size() < kMaxPrefixNews) {
+    this->prefixes.insert(this->prefixes.end(), report.prefixes.begin(),
+                          report.prefixes.end());
+  }
+}
+
 void PeerTable::AssumeAdmitted(PeerEntry& entry, TimePoint now) {
   const std::chrono::duration<double> since =
       entry.status.leaving ? Duration(0)
@@ -232,6 +259,8 @@
   // A node that has just started has been told of more than it has heard.
   summary.nodes =
       std::max(summary.nodes, static_cast<uint32_t>(this->seeds.size()) + 1);
+  summary.prefixes = std::move(this->prefixes);
+  this->prefixes.clear();
   summary.admitted = std::move(this->admitted);
   this->admitted.clear();
   return summary;
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -43,6 +43,12 @@
  * this time. */
 constexpr std::chrono::seconds kFollowerSettle(1);
 
+/** Each prefix is told for so many periods, as datagrams are lost. */
+constexpr double kPrefixRepeats = 1.5;
+
+/** Prefixes told in a datagram, so that it fits one packet. */
+constexpr size_t kMaxPrefixes = 48;
+
 /** Time between fetches. */
 constexpr milliseconds kFetchPeriod(400);
 
@@ -73,6 +79,19 @@
   return message;
 }
 
+/** The prefixes sent to servers since @p oldest, the newest ones. */
+std::vector<serving::PrefixSend> RecentPrefixes(const FleetState& state,
+                                                TimePoint oldest) {
+  std::vector<serving::PrefixSend> recent;
+  for (auto send = state.report.prefixes.rbegin();
+       send != state.report.prefixes.rend() && send->sent >= oldest &&
+       recent.size() < kMaxPrefixes;
+       ++send) {
+    recent.push_back(*send);
+  }
+  return recent;
+}
+
 /** Whether a node has something newer and can probably be asked for it. */
 bool IsSource(const FleetState& state, const PeerEntry& entry, TimePoint now) {
   const bool newer = entry.status.config_revision > state.config_revision ||
@@ -163,6 +182,10 @@
   }
   for (auto& [group, ips] : groups) {
     SendToPeers send{std::move(ips), base};
+    const auto since = std::chrono::duration_cast<Duration>(
+        kPrefixRepeats * MessagePeriod(state));
+    send.message.report.prefixes =
+        RecentPrefixes(state, now - (group.first ? since : 2 * since));
     if (group.first) {
       send.message.report.loads = state.report.loads;
     }
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -34,8 +34,9 @@
   uint32_t failures_in_row = 0;
   TimePoint avoid_until;
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
-  std::unordered_map<uint64_t, TimePoint> prefixes;  ///< Sent here, by part.
-  std::unique_ptr<httpio::HttpChannel> moves;        ///< For move calls.
+  /** When a request with a shared prefix was last sent here by any node. */
+  std::unordered_map<uint32_t, TimePoint> prefixes;
+  std::unique_ptr<httpio::HttpChannel> moves;  ///< For move calls.
   /** Requests whose connection broke without an answer, by time. */
   std::deque<std::pair<TimePoint, uint64_t>> broken;
 };
@@ -56,6 +57,18 @@
       const std::map<serving::NameHash, serving::ServerLoad>& loads,
       TimePoint now);
 
+  /** Records that a request of this node with a prefix goes to a server. */
+  void NotePrefix(PooledServer& server, uint64_t shared_part, TimePoint now);
+
+  /** Takes over which prefixes the other nodes sent where. */
+  void TakePrefixes(const std::vector<serving::PrefixSend>& sends,
+                    TimePoint now);
+
+  /** Prefixes that this node sent to servers a moment ago, oldest first. */
+  const std::deque<serving::PrefixSend>& OwnPrefixes() const {
+    return this->own_prefixes;
+  }
+
   /** When the load of the other nodes was last taken over. */
   TimePoint PeerLoadsAt() const { return this->peer_loads_at; }
 
@@ -117,6 +130,8 @@
   std::string region;
   std::map<std::string, std::string> zone_regions;
   std::map<std::string, std::shared_ptr<PooledServer>, std::less<>> servers;
+  std::unordered_map<serving::NameHash, PooledServer*> by_hash;
+  std::deque<serving::PrefixSend> own_prefixes;
   std::vector<uint64_t> crashers;
   TimePoint peer_loads_at;
 };
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -167,16 +167,16 @@
   wanted.prompt_tokens = this->request.facts.prompt_tokens;
   wanted.shared_tokens = serving::SharedTokens(this->request.facts);
   wanted.body_bytes = this->body->size();
-  const auto& parts = this->request.facts.parts;
-  if (parts.size() >= 2) {
-    wanted.shared_part = parts[parts.size() - 2].id;
-  }
+  wanted.shared_part = serving::SharedPart(this->request.facts);
   std::vector<serving::ServerView> views;
   views.reserve(candidates.size());
   for (const auto& candidate : candidates) {
     views.push_back(this->core.pool.View(*candidate, wanted.shared_part, now));
   }
   const bool engine = this->service != nullptr && this->service->engine;
+  if (engine) {
+    wanted.copy_ms_per_token = this->service->engine->copy_ms_per_token;
+  }
   serving::RoutingPolicy& policy =
       engine ? *this->core.engine_policy : *this->core.plain_policy;
   const auto choice = policy.Choose(wanted, views);
@@ -184,9 +184,15 @@
     return nullptr;
   }
   const serving::ServerView& view = views[choice->index];
-  this->chosen_by = {static_cast<int64_t>(choice->expected_ms), view.running,
-                     view.prefill_tokens,
-                     Millis(now - this->core.pool.PeerLoadsAt())};
+  this->chosen_by = {
+      static_cast<int64_t>(choice->expected_ms),
+      view.running,
+      view.prefill_tokens,
+      Millis(now - this->core.pool.PeerLoadsAt()),
+      choice->read_tokens,
+      choice->copy_from
+          ? ToString(candidates[*choice->copy_from]->server.address)
+          : ""};
   return candidates[choice->index];
 }
 
@@ -231,18 +237,11 @@
   next.server = server;
   next.started = now;
   next.last_byte = now;
-  const uint32_t shared = serving::SharedTokens(this->request.facts);
-  const auto& parts = this->request.facts.parts;
-  next.prefill_tokens = this->request.facts.prompt_tokens;
-  if (parts.size() >= 2) {
-    const uint64_t part = parts[parts.size() - 2].id;
-    if (server->prefixes.contains(part)) {
-      next.prefill_tokens -= std::min(next.prefill_tokens, shared);
-    }
-    server->prefixes[part] = now;
-  }
-  if (fields.move) {
-    next.prefill_tokens = 0;
+  this->core.pool.NotePrefix(*server, serving::SharedPart(this->request.facts),
+                             now);
+  if (!fields.move) {
+    next.prefill_tokens = this->chosen_by.read_tokens;
+    fields.copy_from = this->chosen_by.copy_from;
   }
   server->own.running += 1;
   server->own.prefill_tokens += next.prefill_tokens;
@@ -444,10 +443,14 @@
        {"events", this->events},
        {"first_event_ms", first_event},
        {"prompt_tokens", this->request.facts.prompt_tokens},
+       {"shared_tokens", serving::SharedTokens(this->request.facts)},
+       {"prefix", serving::SharedPart(this->request.facts)},
+       {"read_tokens", this->chosen_by.read_tokens},
        {"expected_ms", this->chosen_by.expected_ms},
        {"running_seen", this->chosen_by.running},
        {"prefill_seen", this->chosen_by.prefill_tokens},
        {"load_age_ms", this->chosen_by.load_age_ms},
+       {"copy_from", this->chosen_by.copy_from},
        {"total_ms", Millis(now - this->arrived)},
        {"status", status},
        {"outcome", outcome}});
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -56,6 +56,8 @@
     uint32_t running = 0;      ///< Requests at the server.
     uint64_t prefill_tokens = 0;
     int64_t load_age_ms = -1;  ///< Age of the other nodes' report.
+    uint32_t read_tokens = 0;  ///< Prompt tokens that it has to read.
+    std::string copy_from;     ///< Where it gets the prefix, or empty.
   };
 
   /** A request under way at a server. */
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -36,6 +36,10 @@
 /** A sent prefix counts as cached for this long. */
 constexpr std::chrono::seconds kPrefixMemory(10);
 
+/** Own prefix sends are told to the other nodes for this long; more than two
+ * periods of messages at 80 nodes. */
+constexpr std::chrono::milliseconds kPrefixNews(1500);
+
 /** A crash shows within this: connections are refused, or the entry goes
  * after three heartbeats. */
 constexpr std::chrono::seconds kCrashEvidence(5);
@@ -115,6 +119,10 @@
     return !pooled.listed && pooled.own.running == 0 &&
            now - pooled.unlisted_at > kForgetAfter;
   });
+  this->by_hash.clear();
+  for (const auto& [id, pooled] : this->servers) {
+    this->by_hash[serving::HashName(id)] = pooled.get();
+  }
 }
 
 void ServerPool::UpdatePeerLoads(
@@ -128,6 +136,28 @@
   }
 }
 
+void ServerPool::NotePrefix(PooledServer& pooled,
+                            uint64_t shared_part,
+                            TimePoint now) {
+  if (shared_part == 0) {
+    return;
+  }
+  const uint32_t prefix = serving::HashPart(shared_part);
+  pooled.prefixes[prefix] = now;
+  this->own_prefixes.push_back(
+      {prefix, serving::HashName(pooled.server.id), now});
+}
+
+void ServerPool::TakePrefixes(const std::vector<serving::PrefixSend>& sends,
+                              TimePoint now) {
+  for (const serving::PrefixSend& send : sends) {
+    const auto found = this->by_hash.find(send.server);
+    if (found != this->by_hash.end()) {
+      found->second->prefixes[send.prefix] = now;
+    }
+  }
+}
+
 std::shared_ptr<PooledServer> ServerPool::Find(std::string_view id) const {
   const auto found = this->servers.find(id);
   return found == this->servers.end() ? nullptr : found->second;
@@ -161,7 +191,7 @@
       uint64_t{pooled.own.prefill_tokens} + pooled.peers.prefill_tokens;
   view.failure_rate = pooled.failure_rate;
   view.avoided = now < pooled.avoid_until;
-  const auto sent = pooled.prefixes.find(shared_part);
+  const auto sent = pooled.prefixes.find(serving::HashPart(shared_part));
   view.prefix_cached = shared_part != 0 && sent != pooled.prefixes.end() &&
                        now - sent->second < kPrefixMemory;
   return view;
@@ -238,6 +268,10 @@
 }
 
 void ServerPool::CheckTime(TimePoint now) {
+  while (!this->own_prefixes.empty() &&
+         now - this->own_prefixes.front().sent > kPrefixNews) {
+    this->own_prefixes.pop_front();
+  }
   for (auto& [id, pooled] : this->servers) {
     while (!pooled->idle.empty()) {
       const auto& oldest = pooled->idle.front();
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -120,6 +120,7 @@
   }
   this->quotas.SetSilentShare(summary.silent_share);
   this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
+  this->pool.TakePrefixes(summary.prefixes, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
   if (!this->config) {
     return;
@@ -190,6 +191,8 @@
     }
   }
   report.crashes = this->suspects.Report(now);
+  report.prefixes.assign(this->pool.OwnPrefixes().begin(),
+                         this->pool.OwnPrefixes().end());
   report.quota_levels = this->quotas.Levels(now);
   return report;
 }
--- a/packages/serving/include/serving/config_type.h
+++ b/packages/serving/include/serving/config_type.h
@@ -54,10 +54,11 @@
 
 /** Model engine properties of a service's servers. */
 struct EngineProfile {
-  uint32_t slots = 1;       ///< Requests that a server runs at once.
-  uint64_t kv_tokens = 0;   ///< Memory of a server, in tokens.
-  bool moves = false;       ///< Running requests can move between servers.
-  Milliseconds copy_ttl{};  ///< Life of a moved copy that nobody takes.
+  uint32_t slots = 1;            ///< Requests that a server runs at once.
+  uint64_t kv_tokens = 0;        ///< Memory of a server, in tokens.
+  bool moves = false;            ///< Running requests can move between servers.
+  double copy_ms_per_token = 0;  ///< Between servers of a zone; 0: unknown.
+  Milliseconds copy_ttl{};       ///< Life of a moved copy that nobody takes.
 };
 
 /** Bounds and prices for ordering servers of a service. */
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/time_type.h"
+
 namespace boragewharf::serving {
 
 /** Short identifier of a name in messages; collisions only blur load. */
@@ -18,6 +20,12 @@
 /** Hash of a customer, service or server name. @note Thread-safe. */
 NameHash HashName(std::string_view name);
 
+/** Short identifier of a part of a prompt. @note Thread-safe. */
+inline uint32_t HashPart(uint64_t part) {
+  constexpr int kHalfBits = 32;
+  return static_cast<uint32_t>(part ^ (part >> kHalfBits));
+}
+
 /** Load that one node puts on one server. */
 struct ServerLoad {
   uint32_t running = 0;         ///< Requests sent and not ended.
@@ -44,6 +52,18 @@
 /** Requests of one customer that began to run in a usage window. */
 using UsageCounts = std::map<NameHash, uint32_t>;
 
+/** A request with a shared prefix was sent to a server, which then holds it. */
+struct PrefixSend {
+  uint32_t prefix = 0;  ///< HashPart() of the last shared part.
+  NameHash server = 0;
+  TimePoint sent;  ///< On the own clock; not told to others.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->prefix, this->server);
+  }
+};
+
 /** State of a node's traffic that other nodes need. */
 struct TrafficReport {
   std::map<NameHash, uint64_t> admitted;  ///< Quota units since the start.
@@ -51,12 +71,13 @@
   std::map<NameHash, ServiceDemand> demand;
   std::map<int64_t, UsageCounts> usage;        ///< By window, recent ones.
   std::map<uint64_t, uint32_t> crashes;        ///< Servers crashed by request.
+  std::vector<PrefixSend> prefixes;            ///< Recent ones.
   std::map<std::string, double> quota_levels;  ///< By customer; kept local.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->admitted, this->loads, this->demand, this->usage,
-            this->crashes);
+            this->crashes, this->prefixes);
   }
 };
 
@@ -99,7 +120,7 @@
 };
 
 /** Messages of another format are dropped. */
-inline constexpr uint32_t kPeerFormat = 1;
+inline constexpr uint32_t kPeerFormat = 2;
 
 /** IPv4 number of a dotted address, or 0. @note Thread-safe. */
 uint32_t PackIp(const std::string& ip);
@@ -118,6 +139,7 @@
   std::map<NameHash, double> admitted;
   std::map<NameHash, ServerLoad> loads;  ///< Of all other nodes.
   std::map<uint64_t, uint32_t> crashes;  ///< Of all other nodes.
+  std::vector<PrefixSend> prefixes;      ///< Of all, since the last summary.
 };
 
 }  // namespace boragewharf::serving
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -61,6 +61,12 @@
   return total;
 }
 
+/** Id of the last part that others share, or 0. @note Thread-safe. */
+inline uint64_t SharedPart(const RequestFacts& facts) {
+  const size_t count = facts.parts.size();
+  return count < 2 ? 0 : facts.parts[count - 2].id;
+}
+
 /** Where a request continues that moved between servers. */
 struct MoveSource {
   std::string address;  ///< IP:PORT of the server that holds the copy.
@@ -75,6 +81,7 @@
   std::optional<uint32_t> urgency;        ///< 0 is first.
   std::optional<uint64_t> last_event_id;  ///< Continue after this event.
   std::optional<MoveSource> move;         ///< Continue from a moved copy.
+  std::string copy_from;  ///< IP:PORT to copy the prefix from, or empty.
 };
 
 /** What a server says of itself on request. */
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -27,7 +27,7 @@
   uint64_t prefill_tokens = 0;  ///< Prompt tokens sent and not yet answered.
   double failure_rate = 0;      ///< Recent share of failed requests, 0 to 1.
   bool avoided = false;         ///< Failed repeatedly a moment ago.
-  bool prefix_cached = false;   ///< Own node sent the shared parts there.
+  bool prefix_cached = false;   ///< Some node sent the shared parts there.
 };
 
 /** What matters of a request for the choice. */
@@ -37,12 +37,17 @@
   uint64_t shared_part = 0;    ///< Id of the last shared part; 0: none.
   uint64_t body_bytes = 0;
   bool urgent = false;  ///< Overtakes waiting requests at the server.
+  /** Time in milliseconds to copy a token's memory from another server of the
+   * same zone; 0: the servers cannot copy. */
+  double copy_ms_per_token = 0;
 };
 
 /** The choice among the candidates. */
 struct RouteChoice {
-  size_t index = 0;        ///< Into the span of candidates.
-  double expected_ms = 0;  ///< Expected time to the first token.
+  size_t index = 0;          ///< Into the span of candidates.
+  double expected_ms = 0;    ///< Expected time to the first token.
+  uint32_t read_tokens = 0;  ///< Prompt tokens that the server has to read.
+  std::optional<size_t> copy_from;  ///< Candidate to copy the prefix from.
 };
 
 /** Chooses a server; implementations are used by one thread. */
@@ -64,7 +69,9 @@
  * Least expected time to the first token, from the prompts that wait at each
  * server, the requests that run there, and the tokens of the request that the
  * server has not cached; bytes between regions count as time. Compares the
- * servers that hold the prefix and a random few of the others.
+ * servers that own the prefix and a random few of the others. A server that
+ * does not hold the prefix copies it from one that does, where that is faster
+ * than to read it again.
  * @param seed For the random choice; differs between nodes.
  */
 std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy(uint64_t seed);
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -37,6 +37,12 @@
 /** A prefix that is read again also costs its price, about its time again. */
 constexpr double kRecomputeWeight = 2.0;
 
+/** Time to begin a copy between servers, in the deployments. */
+constexpr double kCopySetupMs = 8.0;
+
+/** Shared tokens below which a copy takes longer than to read them. */
+constexpr uint32_t kLeastCopied = 256;
+
 /** Servers compared for a request besides those that hold its prefix. More of
  * them let nodes with the same old reports choose the same server. */
 constexpr size_t kSampledNear = 3;
@@ -82,29 +88,79 @@
   return XXH64(server.id.data(), server.id.size(), part);
 }
 
-/** Index of the server that all nodes agree on for a prefix, by region. */
-std::optional<size_t> PrefixOwner(uint64_t part,
-                                  std::span<const ServerView> candidates,
-                                  bool other_region) {
-  std::optional<size_t> owner;
-  uint64_t best = 0;
+/** Servers that all nodes agree on for a prefix, as indices. */
+struct PrefixOwners {
+  std::optional<size_t> first;   ///< Of the own region.
+  std::optional<size_t> second;  ///< Takes over when the first is busy.
+  std::optional<size_t> far;     ///< The first one of other regions.
+
+  bool Contains(size_t index) const {
+    return this->first == index || this->second == index || this->far == index;
+  }
+};
+
+PrefixOwners FindOwners(uint64_t part, std::span<const ServerView> candidates) {
+  PrefixOwners owners;
+  uint64_t first_rank = 0;
+  uint64_t second_rank = 0;
+  uint64_t far_rank = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const ServerView& view = candidates[i];
-    if ((view.distance == Distance::kOtherRegion) != other_region) {
+    const uint64_t rank = AffinityRank(part, *view.server);
+    if (view.distance == Distance::kOtherRegion) {
+      if (!owners.far || rank > far_rank) {
+        owners.far = i;
+        far_rank = rank;
+      }
       continue;
     }
-    const uint64_t rank = AffinityRank(part, *view.server);
-    if (!owner || rank > best) {
-      owner = i;
-      best = rank;
+    if (!owners.first || rank > first_rank) {
+      owners.second = owners.first;
+      second_rank = first_rank;
+      owners.first = i;
+      first_rank = rank;
+    } else if (!owners.second || rank > second_rank) {
+      owners.second = i;
+      second_rank = rank;
+    }
+  }
+  return owners;
+}
+
+/** The server from which others copy the prefix: the nearest that holds it. */
+std::optional<size_t> FindSource(std::span<const ServerView> candidates) {
+  std::optional<size_t> source;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const ServerView& view = candidates[i];
+    if (view.prefix_cached &&
+        (!source || view.distance < candidates[*source].distance)) {
+      source = i;
     }
   }
-  return owner;
+  return source;
 }
 
-/** Tokens of a request that a server has to read. */
-double MissingShared(const RouteRequest& request, bool cached) {
-  return cached ? 0 : request.shared_tokens;
+/** How a server comes by the shared parts of a prompt. */
+struct PrefixCost {
+  double delay_ms = 0;       ///< Until they are in its memory.
+  double price_ms = 0;       ///< What that costs besides, as time.
+  uint32_t read_tokens = 0;  ///< Tokens that it reads itself.
+  bool copies = false;
+};
+
+PrefixCost CostOfPrefix(const RouteRequest& request,
+                        const ServerView& view,
+                        const ServerView* source) {
+  const double reading = request.shared_tokens / kPrefillTokensPerMs;
+  if (source == nullptr || request.copy_ms_per_token <= 0 ||
+      request.shared_tokens < kLeastCopied) {
+    return {reading, (kRecomputeWeight - 1) * reading, request.shared_tokens,
+            false};
+  }
+  const double zones = view.server->zone == source->server->zone ? 1 : 2;
+  const double copying =
+      kCopySetupMs + zones * request.copy_ms_per_token * request.shared_tokens;
+  return {copying, 0, 0, true};
 }
 
 class ExpectedDelayPolicy : public RoutingPolicy {
@@ -114,31 +170,37 @@
   std::optional<RouteChoice> Choose(
       const RouteRequest& request,
       std::span<const ServerView> candidates) override {
-    std::optional<size_t> near_owner;
-    std::optional<size_t> far_owner;
+    PrefixOwners owners;
+    std::optional<size_t> source;
     if (request.shared_part != 0) {
-      near_owner = PrefixOwner(request.shared_part, candidates, false);
-      far_owner = PrefixOwner(request.shared_part, candidates, true);
+      owners = FindOwners(request.shared_part, candidates);
+      source = FindSource(candidates);
     }
+    const uint32_t own_tokens =
+        request.prompt_tokens -
+        std::min(request.prompt_tokens, request.shared_tokens);
     std::optional<RouteChoice> best;
     double best_cost = 0;
-    for (const size_t i : this->Shortlist(candidates, near_owner, far_owner)) {
+    for (const size_t i : this->Shortlist(candidates, owners)) {
       const ServerView& view = candidates[i];
-      const bool cached =
-          view.prefix_cached || near_owner == i || far_owner == i;
-      const double missing = MissingShared(request, cached);
-      const double own_tokens =
-          request.prompt_tokens -
-          std::min(request.prompt_tokens, request.shared_tokens) + missing;
+      PrefixCost prefix;
+      if (!view.prefix_cached) {
+        prefix = CostOfPrefix(request, view,
+                              source ? &candidates[*source] : nullptr);
+      }
+      if (!source && (owners.first == i || owners.far == i)) {
+        // Some server has to read it; its owner is where others look first.
+        prefix.price_ms = 0;
+      }
       const double backlog =
           static_cast<double>(view.prefill_tokens) / kPrefillTokensPerMs;
-      const double expected =
-          LoadDelay(view) + backlog + own_tokens / kPrefillTokensPerMs;
+      const double expected = LoadDelay(view) + backlog + prefix.delay_ms +
+                              own_tokens / kPrefillTokensPerMs;
       const double cost =
-          expected + DistanceDelay(view, request.body_bytes) +
-          (kRecomputeWeight - 1) * missing / kPrefillTokensPerMs;
+          expected + prefix.price_ms + DistanceDelay(view, request.body_bytes);
       if (!best || cost < best_cost) {
-        best = RouteChoice{i, expected};
+        best = RouteChoice{i, expected, own_tokens + prefix.read_tokens,
+                           prefix.copies ? source : std::nullopt};
         best_cost = cost;
       }
     }
@@ -152,8 +214,7 @@
    * they would send to the same one until the next report.
    */
   std::vector<size_t> Shortlist(std::span<const ServerView> candidates,
-                                std::optional<size_t> near_owner,
-                                std::optional<size_t> far_owner) {
+                                const PrefixOwners& owners) {
     std::vector<size_t> listed;
     std::vector<size_t> near;
     std::vector<size_t> far;
@@ -165,7 +226,7 @@
       }
       if (view.avoided) {
         avoided.push_back(i);
-      } else if (view.prefix_cached || near_owner == i || far_owner == i) {
+      } else if (view.prefix_cached || owners.Contains(i)) {
         listed.push_back(i);
       } else if (view.distance == Distance::kOtherRegion) {
         far.push_back(i);
@@ -198,7 +259,7 @@
       const double cost =
           LoadDelay(view) + DistanceDelay(view, request.body_bytes);
       if (!best || cost < best_cost) {
-        best = RouteChoice{i, LoadDelay(view)};
+        best = RouteChoice{i, LoadDelay(view), 0, std::nullopt};
         best_cost = cost;
       }
     }
