Resume the duties at once after a restart, and keep usage counts in the store

(2) Counts of a usage window lived in the nodes' memory alone; the window of the kill was never reported and the next one was off by 55 of 562 requests.

The lease names the holder's instance; a new process there takes over without waiting, the bound on outstanding orders stays. A later holder does not wait for servers to register. Counts of windows that are not reported yet are saved with the quota levels each second. Requests wait up to 400 ms for the first configuration. Fixed and sent usage windows are logged.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -127,9 +127,10 @@
   bool unavailable = false;  ///< None of this kind are to be had there.
 };
 
-/** Quota levels that were saved in the store were read. */
-struct QuotasRead {
-  std::map<std::string, double> levels;  ///< By customer.
+/** What a holder of the duties saved in the store was read. */
+struct ProgressRead {
+  std::map<std::string, double> levels;  ///< Of quotas, by customer.
+  std::vector<ProcessUsage> usage;       ///< Of windows not yet reported.
   int64_t saved_wall_ms = 0;
   int64_t clock_wall_ms = 0;  ///< Reading of the time of day.
 };
@@ -154,7 +155,7 @@
                            UsageFixed,
                            UsageSent,
                            ServersOrdered,
-                           QuotasRead,
+                           ProgressRead,
                            StopRequested,
                            Tick>;
 
@@ -225,12 +226,16 @@
   FencingNumber fencing;
 };
 
-/** Save the quota levels for nodes that restart; no event. */
-struct SaveQuotas {
-  std::map<std::string, double> levels;
+/** Save what would be lost if all nodes were killed; no event. */
+struct SaveProgress {
+  std::map<std::string, double> levels;  ///< Of quotas, by customer.
+  std::vector<ProcessUsage> usage;       ///< Of windows not yet reported.
   int64_t wall_ms = 0;
 };
 
+/** Read what was saved; ends with ProgressRead if there is anything. */
+struct ReadProgress {};
+
 /** The traffic side takes over saved quota levels. */
 struct RestoreQuotas {
   std::map<std::string, double> levels;
@@ -255,7 +260,8 @@
                             DropUsage,
                             SendUsage,
                             OrderServers,
-                            SaveQuotas,
+                            SaveProgress,
+                            ReadProgress,
                             RestoreQuotas,
                             LogChange>;
 
@@ -319,7 +325,7 @@
   std::map<int64_t, WindowProgress> windows;
   std::map<std::string, ScalingState> scaling;
   TimePoint next_scaling;
-  TimePoint next_quota_save;
+  TimePoint next_save;
   std::optional<TimePoint> lost_duty;
   std::shared_ptr<const ScalingPolicy> scaling_policy;
   bool servers_known = false;
@@ -331,9 +337,9 @@
   bool far_turn = false;  ///< The next message goes to all regions.
 };
 
-/** Time between saves of the quota levels; bounds what a restart of all nodes
- * forgets. */
-inline constexpr std::chrono::milliseconds kQuotaSavePeriod(1000);
+/** Time between saves of quota levels and usage counts; bounds what a restart
+ * of all nodes forgets. */
+inline constexpr std::chrono::milliseconds kSavePeriod(1000);
 
 /** Period of the Tick event. */
 inline constexpr std::chrono::milliseconds kTickPeriod(100);
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -17,6 +17,13 @@
 
 namespace boragewharf::fleet {
 
+/** Counts of runs of one process, by window. */
+struct ProcessUsage {
+  std::string ip;
+  uint64_t incarnation = 0;
+  std::map<int64_t, serving::UsageCounts> counts;
+};
+
 /** Counts of runs by node and start of its process. */
 class UsageLedger {
  public:
@@ -28,6 +35,9 @@
   /** Sum over all nodes for one window. */
   serving::UsageCounts Total(int64_t window) const;
 
+  /** Counts of all processes that have any, from window @p oldest on. */
+  std::vector<ProcessUsage> Export(int64_t oldest) const;
+
   /** Forgets windows before @p oldest. */
   void Forget(int64_t oldest);
 
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -44,11 +44,11 @@
   /** Removes old fixed counts. Failures are left to the next removal. */
   virtual void Drop(const DropUsage& usage) = 0;
 
-  /** Saves quota levels. Failures are left to the next save. */
-  virtual void Save(const SaveQuotas& quotas) = 0;
+  /** Saves progress. Failures are left to the next save. */
+  virtual void Save(const SaveProgress& progress) = 0;
 
-  /** Reads saved quota levels; yields QuotasRead if there are any. */
-  virtual void ReadQuotas(EventSink sink) = 0;
+  /** Reads saved progress; yields ProgressRead if there is any. */
+  virtual void ReadSaved(EventSink sink) = 0;
 
   /** Reports a window; yields UsageSent. */
   virtual void Send(const SendUsage& usage, EventSink sink) = 0;
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -107,7 +107,10 @@
         LogChange{changed->held ? "duties_gained" : "duties_lost",
                   "result " + std::to_string(static_cast<int>(changed->code)),
                   changed->fencing.value});
-    if (!changed->held) {
+    if (changed->held) {
+      // Counts of processes that ended before this one heard of them.
+      effects.emplace_back(ReadProgress{});
+    } else {
       state.lost_duty = now;
     }
     // Nothing is known of what another holder has done meanwhile.
@@ -128,6 +131,14 @@
   return counts;
 }
 
+std::string SumText(const NamedCounts& counts) {
+  uint64_t sum = 0;
+  for (const auto& [customer, count] : counts) {
+    sum += count;
+  }
+  return std::to_string(sum);
+}
+
 void AdvanceWindow(FleetState& state,
                    int64_t window,
                    FencingNumber fencing,
@@ -174,6 +185,28 @@
   }
 }
 
+/** Saves what the nodes would forget if all of them were killed. */
+void SaveOwnProgress(FleetState& state,
+                     TimePoint now,
+                     std::vector<Effect>& effects) {
+  const auto length =
+      std::chrono::duration_cast<milliseconds>(state.settings.usage_window)
+          .count();
+  SaveProgress progress;
+  progress.levels = state.report.quota_levels;
+  progress.wall_ms = WallMs(state, now);
+  if (length > 0) {
+    progress.usage =
+        state.usage.Export(progress.wall_ms / length - kOpenWindows);
+  }
+  if (now < state.next_save ||
+      (progress.levels.empty() && progress.usage.empty())) {
+    return;
+  }
+  state.next_save = now + kSavePeriod;
+  effects.emplace_back(std::move(progress));
+}
+
 /** Demand for a service, summed over all nodes that are heard. */
 ScalingDemand TotalDemand(const FleetState& state,
                           const std::string& service,
@@ -225,10 +258,12 @@
 
 /**
  * Counts the servers that were there before any order.
+ * @param starting The deployment starts, and its servers still register.
  * @return Whether their number is known.
  */
 bool CountInitialServers(ScalingState& scaling,
                          const std::map<std::string, ZoneServers>& zones,
+                         bool starting,
                          TimePoint now) {
   if (scaling.initial_counted) {
     return true;
@@ -241,7 +276,8 @@
     scaling.initial_servers = total;
     scaling.grown_at = now;
   }
-  scaling.initial_counted = now - *scaling.grown_at >= kServersSettle;
+  scaling.initial_counted =
+      !starting || now - *scaling.grown_at >= kServersSettle;
   return scaling.initial_counted;
 }
 
@@ -318,7 +354,8 @@
   ScalingState& scaling = state.scaling[service.name];
   const ScalingDemand demand = TotalDemand(state, service.name, now);
   const auto zones = CountServers(state, service, scaling, now);
-  if (!CountInitialServers(scaling, zones, now)) {
+  const bool starting = fencing == lease::kFirstFencing;
+  if (!CountInitialServers(scaling, zones, starting, now)) {
     return;
   }
   const uint32_t needed = NeedNow(scaling, service, demand, now);
@@ -361,13 +398,22 @@
   RunLease(state, event, now, effects);
 }
 
-void TakeUsageFixed(FleetState& state, const UsageFixed& fixed, TimePoint now) {
+void TakeUsageFixed(FleetState& state,
+                    const UsageFixed& fixed,
+                    TimePoint now,
+                    std::vector<Effect>& effects) {
   const auto found = state.windows.find(fixed.window);
   if (found == state.windows.end() ||
       found->second.step != WindowProgress::Step::kFixing) {
     return;
   }
   WindowProgress& progress = found->second;
+  effects.emplace_back(
+      LogChange{"usage_fixed",
+                "window " + std::to_string(fixed.window) +
+                    (fixed.counts ? " requests " + SumText(*fixed.counts)
+                                  : " not stored"),
+                static_cast<uint64_t>(fixed.window)});
   if (!fixed.counts) {
     progress.step = WindowProgress::Step::kOpen;
     progress.next_try = now + kRetryPeriod;
@@ -377,13 +423,22 @@
   progress.counts = *fixed.counts;
 }
 
-void TakeUsageSent(FleetState& state, const UsageSent& sent, TimePoint now) {
+void TakeUsageSent(FleetState& state,
+                   const UsageSent& sent,
+                   TimePoint now,
+                   std::vector<Effect>& effects) {
   const auto found = state.windows.find(sent.window);
   if (found == state.windows.end() ||
       found->second.step != WindowProgress::Step::kSending) {
     return;
   }
   WindowProgress& progress = found->second;
+  effects.emplace_back(
+      LogChange{"usage_sent",
+                "window " + std::to_string(sent.window) + " requests " +
+                    SumText(progress.counts) +
+                    (sent.accepted ? " accepted" : " not accepted"),
+                static_cast<uint64_t>(sent.window)});
   progress.step = sent.accepted ? WindowProgress::Step::kDone
                                 : WindowProgress::Step::kFixed;
   progress.next_try = now + kRetryPeriod;
@@ -427,11 +482,7 @@
     return;
   }
   ReportUsage(state, *fencing, now, effects);
-  if (now >= state.next_quota_save && !state.report.quota_levels.empty()) {
-    state.next_quota_save = now + kQuotaSavePeriod;
-    effects.emplace_back(
-        SaveQuotas{state.report.quota_levels, WallMs(state, now)});
-  }
+  SaveOwnProgress(state, now, effects);
   if (!state.settings.orders_servers || now < state.next_scaling ||
       !state.config || !state.servers_known) {
     return;
--- a/packages/fleet/src/duty_cmd.h
+++ b/packages/fleet/src/duty_cmd.h
@@ -25,10 +25,16 @@
                  std::vector<Effect>& effects);
 
 /** Applies the result of FixUsage. */
-void TakeUsageFixed(FleetState& state, const UsageFixed& fixed, TimePoint now);
+void TakeUsageFixed(FleetState& state,
+                    const UsageFixed& fixed,
+                    TimePoint now,
+                    std::vector<Effect>& effects);
 
 /** Applies the result of SendUsage. */
-void TakeUsageSent(FleetState& state, const UsageSent& sent, TimePoint now);
+void TakeUsageSent(FleetState& state,
+                   const UsageSent& sent,
+                   TimePoint now,
+                   std::vector<Effect>& effects);
 
 /** Applies the result of OrderServers. */
 void TakeOrderAnswer(FleetState& state,
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -28,6 +28,10 @@
 /** The own estimate follows the others after disagreeing for this long. */
 constexpr std::chrono::seconds kClockPatience(1);
 
+/** A process that has run for longer knows the quota levels better than the
+ * save; it has heard of all nodes. */
+constexpr milliseconds kLevelsUseful(1500);
+
 /** Saved quota levels that are older say nothing of the quotas' windows. */
 constexpr milliseconds kQuotaMemory(10000);
 
@@ -256,9 +260,16 @@
   }
 }
 
-void TakeQuotas(FleetState& state,
-                const QuotasRead& read,
-                std::vector<Effect>& effects) {
+void TakeProgress(FleetState& state,
+                  const ProgressRead& read,
+                  TimePoint now,
+                  std::vector<Effect>& effects) {
+  for (const ProcessUsage& process : read.usage) {
+    state.usage.Merge(process.ip, process.incarnation, process.counts);
+  }
+  if (now - state.started > kLevelsUseful) {
+    return;  // The own levels are newer by now.
+  }
   milliseconds age(
       std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
   if (age > kQuotaMemory) {
@@ -266,7 +277,7 @@
   }
   // What was used between the save and the restart is not known; a customer
   // at its limit uses as much as is refilled.
-  age = std::max(milliseconds(0), age - kQuotaSavePeriod);
+  age = std::max(milliseconds(0), age - kSavePeriod);
   effects.emplace_back(RestoreQuotas{read.levels, age});
   effects.emplace_back(LogChange{"quotas_restored",
                                  "age " + std::to_string(age.count()) + " ms",
@@ -281,6 +292,7 @@
       scaling_policy(MakeZoneLossPolicy()) {
   this->peers.AddSeeds(this->settings.seed_ips);
   this->lease.self = MemberId{this->settings.incarnation};
+  this->lease.instance = this->settings.ip;
   this->lease.timing = this->settings.lease_timing;
   this->lease.generator.seed(this->settings.incarnation);
 }
@@ -296,74 +308,80 @@
   if (state.started == TimePoint{}) {
     state.started = now;
   }
-  std::visit(
-      Overloaded{
-          [&](const ConfigRead& read) {
-            TakeConfig(state, read, effects);
-            HastenMessage(state, now);
-          },
-          [&](const ServersRead& read) {
-            TakeServers(state, read, now, effects);
-          },
-          [&](const ServerChanged& change) {
-            TakeServerChange(state, change, now, effects);
-            HastenMessage(state, now);
-          },
-          [&](const ServersPatched& patch) {
-            TakeServersPatch(state, patch, now, effects);
-          },
-          [&](const StoreReachable& store) {
-            TakeStoreState(state, store.reachable, now, effects);
-          },
-          [&](const PeerHeard& heard) {
-            const auto news = state.peers.Hear(heard.message, now);
-            if (news == PeerTable::News::kNewProcess) {
-              // It learns of this node, and of others, the sooner.
-              state.next_message = now;
-              state.far_turn = true;
-            }
-            if (news != PeerTable::News::kNone) {
-              state.usage.Merge(heard.message.status.ip,
-                                heard.message.status.incarnation,
-                                heard.message.report.usage);
-              CatchUp(state, now, effects);
-            }
-          },
-          [&](const TrafficReported& traffic) {
-            state.report = traffic.report;
-            state.usage.Merge(state.settings.ip, state.settings.incarnation,
-                              traffic.report.usage);
-          },
-          [&](const FetchEnded& fetch) {
-            state.fetching = false;
-            if (!fetch.fetched) {
-              state.peers.NoteFetchFailed(fetch.ip, now);
-            }
-          },
-          [&](const LeaseEvent& result) {
-            ReduceLease(state, result.event, now, effects);
-          },
-          [&](const UsageFixed& fixed) { TakeUsageFixed(state, fixed, now); },
-          [&](const UsageSent& sent) { TakeUsageSent(state, sent, now); },
-          [&](const ServersOrdered& answer) {
-            TakeOrderAnswer(state, answer, now, effects);
-          },
-          [&](const QuotasRead& read) { TakeQuotas(state, read, effects); },
-          [&](const StopRequested&) {
-            state.leaving = true;
-            state.next_message = now;
-            SendMessage(state, now, effects);
-          },
-          [&](const Tick& tick) {
-            FollowClock(state, tick.clock_wall_ms, now);
-            ExpireMissing(state, now, effects);
-            DecideFollowing(state, now, effects);
-            CatchUp(state, now, effects);
-            SendMessage(state, now, effects);
-            AdvanceDuties(state, now, effects);
-          },
-      },
-      event);
+  std::visit(Overloaded{
+                 [&](const ConfigRead& read) {
+                   TakeConfig(state, read, effects);
+                   HastenMessage(state, now);
+                 },
+                 [&](const ServersRead& read) {
+                   TakeServers(state, read, now, effects);
+                 },
+                 [&](const ServerChanged& change) {
+                   TakeServerChange(state, change, now, effects);
+                   HastenMessage(state, now);
+                 },
+                 [&](const ServersPatched& patch) {
+                   TakeServersPatch(state, patch, now, effects);
+                 },
+                 [&](const StoreReachable& store) {
+                   TakeStoreState(state, store.reachable, now, effects);
+                 },
+                 [&](const PeerHeard& heard) {
+                   const auto news = state.peers.Hear(heard.message, now);
+                   if (news == PeerTable::News::kNewProcess) {
+                     // It learns of this node, and of others, the sooner.
+                     state.next_message = now;
+                     state.far_turn = true;
+                   }
+                   if (news != PeerTable::News::kNone) {
+                     state.usage.Merge(heard.message.status.ip,
+                                       heard.message.status.incarnation,
+                                       heard.message.report.usage);
+                     CatchUp(state, now, effects);
+                   }
+                 },
+                 [&](const TrafficReported& traffic) {
+                   state.report = traffic.report;
+                   state.usage.Merge(state.settings.ip,
+                                     state.settings.incarnation,
+                                     traffic.report.usage);
+                 },
+                 [&](const FetchEnded& fetch) {
+                   state.fetching = false;
+                   if (!fetch.fetched) {
+                     state.peers.NoteFetchFailed(fetch.ip, now);
+                   }
+                 },
+                 [&](const LeaseEvent& result) {
+                   ReduceLease(state, result.event, now, effects);
+                 },
+                 [&](const UsageFixed& fixed) {
+                   TakeUsageFixed(state, fixed, now, effects);
+                 },
+                 [&](const UsageSent& sent) {
+                   TakeUsageSent(state, sent, now, effects);
+                 },
+                 [&](const ServersOrdered& answer) {
+                   TakeOrderAnswer(state, answer, now, effects);
+                 },
+                 [&](const ProgressRead& read) {
+                   TakeProgress(state, read, now, effects);
+                 },
+                 [&](const StopRequested&) {
+                   state.leaving = true;
+                   state.next_message = now;
+                   SendMessage(state, now, effects);
+                 },
+                 [&](const Tick& tick) {
+                   FollowClock(state, tick.clock_wall_ms, now);
+                   ExpireMissing(state, now, effects);
+                   DecideFollowing(state, now, effects);
+                   CatchUp(state, now, effects);
+                   SendMessage(state, now, effects);
+                   AdvanceDuties(state, now, effects);
+                 },
+             },
+             event);
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -69,6 +69,19 @@
   return total;
 }
 
+std::vector<ProcessUsage> UsageLedger::Export(int64_t oldest) const {
+  std::vector<ProcessUsage> exported;
+  for (const auto& [process, by_window] : this->counts) {
+    const auto first = by_window.lower_bound(oldest);
+    if (first == by_window.end()) {
+      continue;
+    }
+    exported.push_back(
+        {process.first, process.second, {first, by_window.end()}});
+  }
+  return exported;
+}
+
 void UsageLedger::Forget(int64_t oldest) {
   for (auto& [process, by_window] : this->counts) {
     std::erase_if(by_window,
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -157,15 +157,78 @@
   serving::TrafficReport report;
   report.quota_levels = {{"school", 12.5}};
   this->Apply(TrafficReported{report});
-  const auto save = this->RunUntil<SaveQuotas>(seconds(3));
+  const auto save = this->RunUntil<SaveProgress>(seconds(3));
   ASSERT_TRUE(save);
   EXPECT_EQ(save->levels.at("school"), 12.5);
-  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 1700});
+  this->state.started = this->now;
+  this->Apply(
+      ProgressRead{save->levels, {}, save->wall_ms, save->wall_ms + 1700});
   const auto* restore = this->Find<RestoreQuotas>();
   ASSERT_NE(restore, nullptr);
   EXPECT_EQ(restore->age, Duration(milliseconds(700)));
-  this->Apply(QuotasRead{save->levels, save->wall_ms, save->wall_ms + 60000});
+  this->Apply(
+      ProgressRead{save->levels, {}, save->wall_ms, save->wall_ms + 60000});
   EXPECT_EQ(this->Find<RestoreQuotas>(), nullptr) << "too old to say anything";
+  this->now += seconds(5);
+  this->Apply(
+      ProgressRead{save->levels, {}, save->wall_ms, save->wall_ms + 5000});
+  EXPECT_EQ(this->Find<RestoreQuotas>(), nullptr) << "own levels are newer";
+}
+
+// Pattern: all processes are killed in the middle of a usage window. Guards
+// against a report without the runs before (found as "usage of window ... is
+// off" on kbtc-wharf trouble-3).
+TEST_F(DutyTest, UsageOfEndedProcessesIsReportedAfterARestartOfAll) {
+  this->Gain();
+  const serving::NameHash school = serving::HashName("school");
+  const int64_t window =
+      (kWall + (this->now - TimePoint{}) / milliseconds(1)) / 5000;
+  serving::TrafficReport report;
+  report.usage[window][school] = 30;
+  this->Apply(TrafficReported{report});
+  const auto save = this->RunUntil<SaveProgress>(seconds(3));
+  ASSERT_TRUE(save);
+
+  FleetSettings settings = MakeSettings("10.0.0.1");
+  settings.incarnation = MakeIncarnation(save->wall_ms + 600, 3);
+  this->state = FleetState(settings);
+  this->Gain();
+  this->Apply(ProgressRead{{}, save->usage, save->wall_ms, save->wall_ms});
+  report.usage[window][school] = 5;
+  this->Apply(TrafficReported{report});
+  EXPECT_EQ(this->state.usage.Total(window).at(school), 35U);
+  // What was read twice counts once.
+  this->Apply(ProgressRead{{}, save->usage, save->wall_ms, save->wall_ms});
+  EXPECT_EQ(this->state.usage.Total(window).at(school), 35U);
+}
+
+// Pattern: the duties change hands under load. A later holder finds all servers
+// listed and must not wait for them to register.
+TEST_F(DutyTest, LaterHolderOrdersAtOnce) {
+  this->state.settings.orders_servers = true;
+  auto config = Config(5);
+  serving::Service service;
+  service.name = "llm";
+  service.engine.emplace();
+  service.engine->slots = 12;
+  service.scaling.emplace();
+  service.scaling->min = 1;
+  service.scaling->max = 60;
+  service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}};
+  config->services.push_back(service);
+  this->Configure();
+  this->Apply(ConfigRead{50, config, "{}"});
+  this->TickFor(milliseconds(200));
+  lease::LeaseRecord ended;
+  ended.holder = MemberId{9};
+  ended.fencing = FencingNumber{4};
+  ended.instance = "10.0.0.1";
+  this->Apply(LeaseEvent{lease::LeaseRead{kDutyLease, {"7"}, ended}});
+  ASSERT_NE(this->Find<LeaseCall>(), nullptr);
+  this->Apply(LeaseEvent{lease::LeaseWritten{kDutyLease, {"8"}}});
+  EXPECT_NE(this->Find<ReadProgress>(), nullptr);
+  const auto order = this->RunUntil<OrderServers>(milliseconds(1400));
+  ASSERT_TRUE(order) << "the order bound is one second";
 }
 
 }  // namespace
--- a/packages/lease/include/lease/lease_type.h
+++ b/packages/lease/include/lease/lease_type.h
@@ -48,6 +48,9 @@
 /** Time between reads of a lease that another member holds. */
 inline constexpr Duration kWatchPeriod = std::chrono::seconds(2);
 
+/** Number of the first holder of a duty. */
+inline constexpr FencingNumber kFirstFencing{1};
+
 /** Delay after the first failed call; doubles with each further one. */
 inline constexpr Duration kBackoffFirst = std::chrono::milliseconds(250);
 
@@ -68,10 +71,11 @@
 
 /** The object leases/DUTY. */
 struct LeaseRecord {
-  MemberId holder;        ///< Who wrote it.
-  FencingNumber fencing;  ///< Rises with each holder.
-  uint64_t write = 0;     ///< Unique among the holder's writes.
-  bool released = false;  ///< Given up; a successor need not wait.
+  MemberId holder;         ///< Who wrote it.
+  FencingNumber fencing;   ///< Rises with each holder.
+  uint64_t write = 0;      ///< Unique among the holder's writes.
+  bool released = false;   ///< Given up; a successor need not wait.
+  std::string instance{};  ///< Where the holder runs; empty: not told.
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -194,6 +198,7 @@
 /** All duties of this member. */
 struct LeaseState {
   MemberId self;              ///< Random per process start.
+  std::string instance;       ///< Where this member runs; may be empty.
   LeaseTiming timing;         ///< Set before the first event.
   std::mt19937_64 generator;  ///< For jitter; seeded by the owner.
   uint64_t last_write = 0;    ///< Source of LeaseRecord::write.
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -7,7 +7,9 @@
  * lease_time after it saw that write's version, hence later by the time of
  * any clock that runs at the same rate, and its conditional write succeeds
  * only if the holder has written nothing since. Wall clocks and differences
- * between the members' clocks play no part.
+ * between the members' clocks play no part. A member that finds the record of
+ * an earlier process of its own instance need not wait: an instance runs one
+ * process at a time, so that holder has ended.
  */
 #include "lease/lease_cmd.h"
 
@@ -21,9 +23,6 @@
 constexpr uint32_t kMaxDoublings = 8;
 constexpr double kJitterFloor = 0.5;
 
-/** Number of the first holder of a duty. */
-constexpr FencingNumber kFirstFencing{1};
-
 template <class... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -139,6 +138,14 @@
     return !this->duty.seen->version && this->duty.highest.value == 0;
   }
 
+  /** Whether the record is of an earlier process of this instance. */
+  bool HolderHasEnded() const {
+    const LeaseRecord& record = this->duty.seen->record;
+    return this->duty.seen->version && !this->state.instance.empty() &&
+           record.instance == this->state.instance &&
+           record.holder != this->state.self;
+  }
+
   bool MayWrite() const {
     const Observation& seen = *this->duty.seen;
     if (this->SeenAsHolder()) {
@@ -148,14 +155,15 @@
       return this->duty.wanted;
     }
     return this->duty.wanted &&
-           (seen.record.released ||
+           (seen.record.released || this->HolderHasEnded() ||
             this->now >= seen.first_seen + this->state.timing.lease_time);
   }
 
   void Write() {
     const Observation& seen = *this->duty.seen;
     LeaseRecord record{this->state.self, seen.record.fencing,
-                       ++this->state.last_write, !this->duty.wanted};
+                       ++this->state.last_write, !this->duty.wanted,
+                       this->state.instance};
     if (!this->SeenAsHolder()) {
       // The highest number seen counts if the object was removed.
       record.fencing.value =
@@ -274,7 +282,7 @@
       return;
     }
     if (this->SeenAsHolder() || this->duty.seen->record.released ||
-        this->NeverHeld()) {
+        this->NeverHeld() || this->HolderHasEnded()) {
       this->duty.next_call = this->now;
       return;
     }
--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -60,7 +60,8 @@
                      {"fencing", record.fencing.value},
                      {"leaseMs", kLeaseTime / std::chrono::milliseconds(1)},
                      {"write", record.write},
-                     {"released", record.released}};
+                     {"released", record.released},
+                     {"instance", record.instance}};
   return json.dump();
 }
 
@@ -79,7 +80,8 @@
     }
   }
   if (!json.contains("holder") || !json["holder"].is_string() ||
-      !json.contains("released") || !json["released"].is_boolean()) {
+      !json.contains("released") || !json["released"].is_boolean() ||
+      (json.contains("instance") && !json["instance"].is_string())) {
     return Fail(ResultCode::kStoreMalformed, "lease record");
   }
   const std::optional<MemberId> holder =
@@ -89,7 +91,9 @@
   }
   return LeaseRecord{*holder, FencingNumber{json["fencing"].get<uint64_t>()},
                      json["write"].get<uint64_t>(),
-                     json["released"].get<bool>()};
+                     json["released"].get<bool>(),
+                     // Records of earlier versions have no such field.
+                     json.value("instance", "")};
 }
 
 }  // namespace boragewharf::lease
--- a/packages/lease/tests/lease_test.cc
+++ b/packages/lease/tests/lease_test.cc
@@ -207,5 +207,38 @@
   EXPECT_EQ(LastReason().code, ResultCode::kNewerFormat);
 }
 
+// Pattern: all processes are killed and start again. Guards against seconds
+// without a holder while the lease of the ended process runs out.
+TEST_F(LeaseTest, RestartedHolderTakesOverFromItsEndedProcess) {
+  this->state.instance = "10.0.0.1";
+  this->state.timing.order_bound = seconds(1);
+  const LeaseRecord ended{MemberId{9}, FencingNumber{4}, 7, false, "10.0.0.1"};
+  this->Apply(LeaseRead{kDuty, {"v1"}, ended});
+  const auto* write = this->Find<WriteLease>();
+  ASSERT_NE(write, nullptr);
+  EXPECT_EQ(write->record.fencing, FencingNumber{5});
+  EXPECT_EQ(write->record.instance, "10.0.0.1");
+  this->Apply(LeaseWritten{kDuty, {"v2"}});
+  EXPECT_TRUE(this->MayActOn(ServerFencing::kChecked));
+  EXPECT_FALSE(this->MayActOn(ServerFencing::kIgnored))
+      << "orders of the ended process may be on their way";
+  this->now += this->state.timing.order_bound;
+  this->Apply(Tick{});
+  EXPECT_TRUE(this->MayActOn(ServerFencing::kIgnored));
+}
+
+TEST_F(LeaseTest, HolderOnAnotherInstanceIsWaitedFor) {
+  this->state.instance = "10.0.0.1";
+  const LeaseRecord other{MemberId{9}, FencingNumber{4}, 7, false, "10.0.0.2"};
+  this->Apply(LeaseRead{kDuty, {"v1"}, other});
+  EXPECT_EQ(this->Find<WriteLease>(), nullptr);
+}
+
+TEST_F(LeaseTest, RecordsWithoutAnInstanceAreWaitedFor) {
+  const LeaseRecord unnamed{MemberId{9}, FencingNumber{4}, 7, false, ""};
+  this->Apply(LeaseRead{kDuty, {"v1"}, unnamed});
+  EXPECT_EQ(this->Find<WriteLease>(), nullptr);
+}
+
 }  // namespace
 }  // namespace boragewharf::lease
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -160,7 +160,7 @@
   this->platform.Follow(
       [this](const fleet::Event& event) { this->Handle(event); });
   if (!this->settings.first_start) {
-    this->platform.ReadQuotas(
+    this->platform.ReadSaved(
         [this](const fleet::Event& event) { this->Handle(event); });
   }
   this->Tick();
@@ -205,7 +205,10 @@
           [&](const fleet::OrderServers& order) {
             this->platform.Order(order, sink);
           },
-          [&](const fleet::SaveQuotas& quotas) { this->platform.Save(quotas); },
+          [&](const fleet::SaveProgress& progress) {
+            this->platform.Save(progress);
+          },
+          [&](const fleet::ReadProgress&) { this->platform.ReadSaved(sink); },
           [&](const fleet::RestoreQuotas& quotas) {
             this->traffic.TakeQuotas(quotas.levels, quotas.age);
           },
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -108,6 +108,9 @@
   /** Asks servers that leave with requests of ours for the time left. */
   void AskLeavingServers(TimePoint now);
 
+  /** Starts the early requests that can be served, or have waited enough. */
+  void StartEarly();
+
   /** Counts a request that began to run. */
   void CountRun(const std::string& customer, TimePoint now);
 
@@ -131,6 +134,8 @@
   std::mt19937_64 generator;
   std::unordered_map<httpio::ServerConnection*, std::shared_ptr<Exchange>>
       exchanges;
+  /** Requests that arrived before the first configuration and servers. */
+  std::vector<std::shared_ptr<Exchange>> early;
   std::map<int64_t, std::map<std::string, uint32_t>> usage;
   struct Demand {
     double prefill_per_second = 0;
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -22,6 +22,10 @@
 /** Retry-After while all servers are full; runs end every few dozen ms. */
 constexpr Milliseconds kRetryFull(400);
 
+/** Requests wait this long for the first configuration and servers; a process
+ * reads them within some dozen ms of its start if the store answers. */
+constexpr Milliseconds kStartWait(400);
+
 /** Retry-After before the first configuration is known. */
 constexpr Milliseconds kRetryNotReady(500);
 
@@ -78,7 +82,6 @@
       client(std::move(connection)),
       request(std::move(client_request)),
       body(std::make_shared<const std::string>(std::move(request_body))),
-      config(traffic.config),
       arrived(BootClock::now()) {}
 
 Exchange::~Exchange() {
@@ -90,6 +93,11 @@
 }
 
 void Exchange::Start() {
+  if (!this->core.Ready() && BootClock::now() - this->arrived < kStartWait) {
+    this->core.early.push_back(this->shared_from_this());
+    return;
+  }
+  this->config = this->core.config;
   if (!this->CheckRequest() || !this->Admit()) {
     return;
   }
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -34,9 +34,15 @@
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
-  /** Checks the request and sends it to a server, or refuses it. */
+  /**
+   * Checks the request and sends it to a server, or refuses it. While the core
+   * is not ready it joins the early requests, which are started again.
+   */
   void Start();
 
+  /** Whether the request has ended. */
+  bool Done() const { return this->done; }
+
   /** The client left; the server's work is cancelled. */
   void OnClientGone();
 
@@ -122,7 +128,7 @@
   std::shared_ptr<httpio::ServerConnection> client;
   serving::ClientRequest request;
   std::shared_ptr<const std::string> body;
-  std::shared_ptr<const serving::ServingConfig> config;  ///< At arrival.
+  std::shared_ptr<const serving::ServingConfig> config;  ///< At the start.
   const serving::Route* route = nullptr;
   const serving::Customer* customer = nullptr;
   const serving::Service* service = nullptr;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -63,6 +63,16 @@
     std::shared_ptr<const serving::ServingConfig> next) {
   this->config = std::move(next);
   this->quotas.Configure(*this->config, BootClock::now());
+  this->StartEarly();
+}
+
+void TrafficCore::StartEarly() {
+  // Those that still have to wait join the list again.
+  for (const auto& exchange : std::exchange(this->early, {})) {
+    if (!exchange->Done()) {
+      exchange->Start();
+    }
+  }
 }
 
 void TrafficCore::SetServers(
@@ -72,6 +82,7 @@
   const TimePoint now = BootClock::now();
   this->pool.Update(*next, now);
   this->AskLeavingServers(now);
+  this->StartEarly();
 }
 
 void TrafficCore::AskLeavingServers(TimePoint now) {
@@ -198,6 +209,7 @@
 }
 
 void TrafficCore::CheckTime(TimePoint now) {
+  this->StartEarly();
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(this->exchanges.size());
   for (const auto& [connection, exchange] : this->exchanges) {
