Size the fleet by the tokens that servers read, and price copies

(1) The number of servers followed all prompt tokens, though nearly half of them are shared parts that servers hold.

Demand counts the tokens that the chosen server has to read. A copy weighs five times its time besides.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -102,7 +102,9 @@
     return;
   }
   if (!this->TryServer(false)) {
-    this->core.demand[this->service_name].refused += 1;
+    TrafficCore::Demand& demand = this->core.demand[this->service_name];
+    demand.refused += 1;
+    demand.tokens_since += this->request.facts.prompt_tokens;
     const bool listed =
         !this->core.pool.Candidates(this->service_name, {}).empty();
     this->Refuse(503, listed ? kRetryFull : kRetryNoServer,
@@ -162,8 +164,6 @@
     this->quota_cost = cost;
   }
   this->core.budget.CountRequest(this->service_name, this->arrived);
-  this->core.demand[this->service_name].tokens_since +=
-      this->request.facts.prompt_tokens;
   return true;
 }
 
@@ -249,6 +249,8 @@
                              now);
   if (!fields.move) {
     next.prefill_tokens = this->chosen_by.read_tokens;
+    this->core.demand[this->service_name].tokens_since +=
+        this->chosen_by.read_tokens;
     fields.copy_from = this->chosen_by.copy_from;
   }
   server->own.running += 1;
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -37,6 +37,10 @@
 /** A prefix that is read again also costs its price, about its time again. */
 constexpr double kRecomputeWeight = 2.0;
 
+/** Price of a copy relative to its time: moved memory costs a thirtieth of a
+ * request's worth, and the links of two servers are busy. */
+constexpr double kCopyWeight = 5.0;
+
 /** Time to begin a copy between servers, in the deployments. */
 constexpr double kCopySetupMs = 8.0;
 
@@ -160,7 +164,7 @@
   const double zones = view.server->zone == source->server->zone ? 1 : 2;
   const double copying =
       kCopySetupMs + zones * request.copy_ms_per_token * request.shared_tokens;
-  return {copying, 0, 0, true};
+  return {copying, kCopyWeight * copying, 0, true};
 }
 
 class ExpectedDelayPolicy : public RoutingPolicy {
--- a/packages/serving/tests/routing_policy_test.cc
+++ b/packages/serving/tests/routing_policy_test.cc
@@ -81,6 +81,56 @@
   EXPECT_NE(this->engine->Choose(request, this->views)->index, owner);
 }
 
+/** A request of a kind with a long shared prefix. */
+RouteRequest SharedRequest() {
+  RouteRequest request;
+  request.prompt_tokens = 12000;
+  request.shared_tokens = 5400;
+  request.shared_part = 42;
+  request.copy_ms_per_token = 18432 * 8 / 88e6;
+  return request;
+}
+
+// Pattern: batch reports share a prefix. Guards against moving it about while
+// the server that holds it is free.
+TEST_F(RoutingTest, ServerThatHoldsThePrefixIsPreferredToACopy) {
+  this->AddServer("idle", Distance::kSameZone, 48);
+  this->AddServer("holder", Distance::kSameZone, 48);
+  this->views[1].prefix_cached = true;
+  this->views[1].running = 10;
+  const auto choice = this->engine->Choose(SharedRequest(), this->views);
+  EXPECT_EQ(choice->index, 1U);
+  EXPECT_FALSE(choice->copy_from);
+  EXPECT_EQ(choice->read_tokens, 6600U);
+}
+
+// Pattern: hot key. Guards against reading the prefix again at each server to
+// which its requests spill over.
+TEST_F(RoutingTest, PrefixIsCopiedWhereItsHolderIsBusy) {
+  this->AddServer("idle", Distance::kSameZone, 48);
+  this->AddServer("holder", Distance::kSameZone, 48);
+  this->views[1].prefix_cached = true;
+  this->views[1].prefill_tokens = 60000;
+  const auto choice = this->engine->Choose(SharedRequest(), this->views);
+  EXPECT_EQ(choice->index, 0U);
+  EXPECT_EQ(choice->copy_from, 1U);
+  EXPECT_EQ(choice->read_tokens, 6600U) << "only the request's own tokens";
+}
+
+// Servers whose engines cannot copy read the prefix.
+TEST_F(RoutingTest, PrefixIsReadWhereItCannotBeCopied) {
+  this->AddServer("idle", Distance::kSameZone, 48);
+  this->AddServer("holder", Distance::kSameZone, 48);
+  this->views[1].prefix_cached = true;
+  this->views[1].prefill_tokens = 60000;
+  RouteRequest request = SharedRequest();
+  request.copy_ms_per_token = 0;
+  const auto choice = this->engine->Choose(request, this->views);
+  EXPECT_EQ(choice->index, 0U);
+  EXPECT_FALSE(choice->copy_from);
+  EXPECT_EQ(choice->read_tokens, 12000U);
+}
+
 // Pattern: bytes between regions are dear, but a queue is dearer.
 TEST_F(RoutingTest, OtherRegionOnlyWhenTheOwnIsSwamped) {
   this->AddServer("near", Distance::kSameZone, 48);
--- a/tests/soak/node_soak.cc
+++ b/tests/soak/node_soak.cc
@@ -14,6 +14,7 @@
 #include <random>
 #include <sstream>
 
+#include "link_faults.h"
 #include "node_process.h"
 #include "platform_standin.h"
 #include "soak_client.h"
@@ -22,6 +23,7 @@
 
 namespace asio = boost::asio;
 using boragewharf::Endpoint;
+using boragewharf::soak::LinkFaults;
 using boragewharf::soak::NodeProcess;
 using boragewharf::soak::RunAddresses;
 using boragewharf::soak::RunRecord;
@@ -57,6 +59,7 @@
                    std::to_string(getpid()))),
         store(loop),
         cloud(loop),
+        links(run_seed),
         timer(loop) {
     std::filesystem::create_directories(this->directory);
     for (const char* id : {"llm-1", "llm-2", "desk-1", "desk-2"}) {
@@ -64,9 +67,10 @@
           this->loop, id,
           std::string(id).substr(0, 3) == "llm" ? "llm" : "desk"));
       this->servers.back()->SetStream(12, milliseconds(20));
+      this->server_links[id] =
+          ToString(this->links.Add(id, this->servers.back()->Address()));
     }
-    this->addresses.store = this->store.Address();
-    this->addresses.cloud = this->cloud.Address();
+    this->addresses.cloud = this->links.Add("cloud", this->cloud.Address());
     for (uint16_t* port :
          {&this->addresses.client_port, &this->addresses.ready_port,
           &this->addresses.control_port, &this->addresses.directory_port,
@@ -74,9 +78,13 @@
       *port = boragewharf::standins::FreePort();
     }
     for (size_t i = 0; i < kNodes; ++i) {
+      const std::string ip = "127.0.10." + std::to_string(i + 1);
+      this->addresses.store =
+          this->links.Add(ip + " to store", this->store.Address());
       this->nodes.push_back(std::make_unique<NodeProcess>(
-          node_program, this->directory.string(),
-          "127.0.10." + std::to_string(i + 1), this->addresses));
+          node_program, this->directory.string(), ip, this->addresses));
+      this->entries.push_back(this->links.Add(
+          "clients to " + ip, Endpoint{ip, this->addresses.client_port}));
     }
   }
 
@@ -117,6 +125,10 @@
                 this->directory.c_str());
     if (this->record.faults.empty()) {
       std::filesystem::remove_all(this->directory);
+    } else {
+      for (const std::string& link : this->injected_links) {
+        std::printf("  link: %s\n", link.c_str());
+      }
     }
     return this->record.faults;
   }
@@ -129,10 +141,10 @@
       made.push_back(std::make_unique<SoakClient>(
           this->loop, kind + "-" + std::to_string(i), this->generator(),
           [this] {
-            const size_t node = this->generator() % this->nodes.size();
-            return asio::ip::tcp::endpoint(
-                asio::ip::make_address(this->nodes[node]->Ip()),
-                this->addresses.client_port);
+            const Endpoint& entry =
+                this->entries[this->generator() % this->entries.size()];
+            return asio::ip::tcp::endpoint(asio::ip::make_address(entry.host),
+                                           entry.port);
           },
           this->record));
       made.back()->Start(count);
@@ -140,9 +152,15 @@
     return made;
   }
 
+  void PublishServer(const ServerStandin& server, const char* state) {
+    auto entry = server.Entry("a", state);
+    entry["address"] = this->server_links.at(server.Id());
+    this->store.Put("servers", server.Id(), entry);
+  }
+
   void PublishServers() {
     for (const auto& server : this->servers) {
-      this->store.Put("servers", server->Id(), server->Entry("a", "ready"));
+      this->PublishServer(*server, "ready");
     }
   }
 
@@ -162,7 +180,7 @@
     NodeProcess& node = *this->nodes[this->generator() % this->nodes.size()];
     ServerStandin& server =
         *this->servers[this->generator() % this->servers.size()];
-    switch (this->generator() % 10) {
+    switch (this->generator() % 14) {
       case 0:
         node.Signal(SIGKILL);
         break;
@@ -186,12 +204,18 @@
                         boragewharf::standins::ExampleConfig(++this->version));
         break;
       case 7:
-        this->store.Put("servers", server.Id(), server.Entry("a", "draining"));
+        this->PublishServer(server, "draining");
         break;
       case 8:
         server.SetFault(static_cast<ServerFault>(this->generator() % 8));
         break;
+      case 9:
+      case 10:
+      case 11:
+        this->injected_links.push_back(this->links.Inject(this->generator));
+        break;
       default:
+        this->links.Heal();
         this->PublishServers();
         server.SetFault(ServerFault::kNone);
         for (const auto& stopped : this->nodes) {
@@ -204,6 +228,7 @@
 
   void Heal() {
     this->store.SetMode(StoreMode::kServe);
+    this->links.Heal();
     this->PublishServers();
     for (const auto& server : this->servers) {
       server->SetFault(ServerFault::kNone);
@@ -266,6 +291,10 @@
   asio::io_context loop;
   StoreStandin store;
   CloudStandin cloud;
+  LinkFaults links;
+  std::map<std::string, std::string> server_links;  ///< Addresses by id.
+  std::vector<Endpoint> entries;                    ///< For clients, by node.
+  std::vector<std::string> injected_links;
   std::vector<std::unique_ptr<ServerStandin>> servers;
   RunAddresses addresses;
   std::vector<std::unique_ptr<NodeProcess>> nodes;
