--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -192,6 +192,7 @@
 /** Begin or stop to learn changes from the store itself. */
 struct FollowStore {
   bool follow = true;
+  bool eager = true;  ///< Learn of servers at once, at the price of more calls.
 };
 
 /** A call for the duty lease; ends with a LeaseEvent. */
@@ -330,6 +331,7 @@
   std::shared_ptr<const ScalingPolicy> scaling_policy;
   bool servers_known = false;
   bool following = true;  ///< Learns from the store itself.
+  bool eager = true;      ///< Nobody else is known to learn at once.
   bool store_reachable = false;
   bool store_seen = false;  ///< Whether it is reachable has been told.
   bool fetching = false;
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -30,10 +30,10 @@
   virtual void Follow(EventSink sink) = 0;
 
   /**
-   * Stops or resumes the calls that Follow() makes.
+   * Stops or resumes the calls that Follow() makes, and sets their pace.
    * @pre Follow() was called.
    */
-  virtual void SetFollowing(bool follow) = 0;
+  virtual void SetFollowing(const FollowStore& wanted) = 0;
 
   /** Executes a lease call; yields one LeaseEvent. */
   virtual void CallLease(const lease::LeaseEffect& call, EventSink sink) = 0;
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -355,14 +355,23 @@
   const ScalingDemand demand = TotalDemand(state, service.name, now);
   const auto zones = CountServers(state, service, scaling, now);
   const bool starting = fencing == lease::kFirstFencing;
-  if (!CountInitialServers(scaling, zones, starting, now)) {
-    return;
-  }
+  const bool counted = CountInitialServers(scaling, zones, starting, now);
   const uint32_t needed = NeedNow(scaling, service, demand, now);
   const ZonePlans plans =
       state.scaling_policy->Plan(*service.scaling, needed, zones);
   for (const auto& [zone, plan] : plans) {
     const ZoneServers& servers = zones.at(zone);
+    const std::optional<uint32_t> ordered =
+        scaling.orders[{zone, true}].ordered;
+    if (!counted) {
+      // Reclaimable servers take time to boot; nothing is given up yet.
+      if (plan.reclaimable >
+          std::max(servers.reclaimable, ordered.value_or(0))) {
+        Order(scaling, service, zone, true, plan.reclaimable,
+              servers.reclaimable, fencing, now, effects);
+      }
+      continue;
+    }
     Order(scaling, service, zone, true, plan.reclaimable, servers.reclaimable,
           fencing, now, effects);
     Order(scaling, service, zone, false, plan.on_demand, servers.on_demand,
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -215,10 +215,12 @@
                      std::vector<Effect>& effects) {
   const uint32_t own_rank = serving::HashName(state.settings.ip);
   size_t others = 0;
+  bool other_is_eager = false;
   for (const auto& [ip, entry] : state.peers.All()) {
     const bool follows = entry.status.follows_store && !entry.status.leaving &&
                          !IsSilent(entry.heard, MessagePeriod(state), now);
     others += follows && serving::HashName(ip) < own_rank ? 1 : 0;
+    other_is_eager |= follows && entry.status.holds_duties;
   }
   if (others < kStoreFollowers) {
     state.enough_followers_since.reset();
@@ -230,12 +232,17 @@
   // The holder of the duties replaces servers the sooner it hears of a loss.
   const bool follow = !settled || !state.config || !state.servers_known ||
                       HoldsDuties(state, now);
+  const bool eager = HoldsDuties(state, now) || !other_is_eager;
+  if (follow == state.following && eager == state.eager) {
+    return;
+  }
   if (follow != state.following) {
-    state.following = follow;
-    effects.emplace_back(FollowStore{follow});
     effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
                                    state.servers_revision});
   }
+  state.following = follow;
+  state.eager = eager;
+  effects.emplace_back(FollowStore{follow, eager});
 }
 
 void CatchUp(FleetState& state, TimePoint now, std::vector<Effect>& effects) {
--- a/packages/lease/include/lease/lease_type.h
+++ b/packages/lease/include/lease/lease_type.h
@@ -198,11 +198,11 @@
 /** All duties of this member. */
 struct LeaseState {
   MemberId self;              ///< Random per process start.
-  std::string instance;       ///< Where this member runs; may be empty.
   LeaseTiming timing;         ///< Set before the first event.
   std::mt19937_64 generator;  ///< For jitter; seeded by the owner.
   uint64_t last_write = 0;    ///< Source of LeaseRecord::write.
-  std::map<std::string, Duty, std::less<>> duties;  ///< By name.
+  std::map<std::string, Duty, std::less<>> duties{};  ///< By name.
+  std::string instance{};  ///< Where this member runs; may be empty.
 };
 
 }  // namespace boragewharf::lease
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -190,7 +190,7 @@
           [&](const fleet::SendToPeers& send) { this->Send(send); },
           [&](const fleet::FetchState& fetch) { this->Fetch(fetch); },
           [&](const fleet::FollowStore& follow) {
-            this->platform.SetFollowing(follow.follow);
+            this->platform.SetFollowing(follow);
           },
           [&](const fleet::LeaseCall& call) {
             this->platform.CallLease(call.call, sink);
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -157,6 +157,7 @@
     const double cost =
         serving::QuotaCost(*this->customer, this->request.facts);
     if (!this->core.quotas.Admit(*this->customer, cost, this->arrived)) {
+      this->LogQuota(cost);
       this->Refuse(429, this->core.quotas.TimeUntil(*this->customer, cost),
                    "over_quota");
       return false;
@@ -167,6 +168,22 @@
   return true;
 }
 
+void Exchange::LogQuota(double cost) {
+  const serving::QuotaView view = this->core.quotas.View(this->customer->name);
+  this->core.log.Write(
+      EventLevel::kWarning, "quota_exceeded",
+      {{"id", this->request.facts.attempt_id},
+       {"customer", this->customer->name},
+       {"cost", static_cast<int64_t>(cost)},
+       {"level", static_cast<int64_t>(view.level)},
+       {"own_level", static_cast<int64_t>(view.own_level)},
+       {"rate", static_cast<int64_t>(view.rate)},
+       {"nodes", view.nodes},
+       {"pooled", view.pooled},
+       {"informed", view.informed},
+       {"load_age_ms", Millis(this->arrived - this->core.pool.PeerLoadsAt())}});
+}
+
 std::shared_ptr<PooledServer> Exchange::ChooseServer() {
   const TimePoint now = BootClock::now();
   const auto candidates =
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -94,6 +94,7 @@
 
   bool CheckRequest();
   bool Admit();
+  void LogQuota(double cost);
   bool TryServer(bool counts_as_repeat);
   void SendTo(const std::shared_ptr<PooledServer>& server,
               std::optional<serving::MoveSource> from);
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -19,6 +19,16 @@
 /** Cost of a request in the unit of the customer's quota. */
 double QuotaCost(const Customer& customer, const RequestFacts& facts);
 
+/** What a decision on a customer's quota rests on, for the log. */
+struct QuotaView {
+  double level = 0;      ///< Of the bucket that all nodes share.
+  double own_level = 0;  ///< What this node may use of its own share.
+  double rate = 0;       ///< Units per second.
+  uint32_t nodes = 1;    ///< Nodes among which the quota is divided.
+  bool pooled = true;    ///< The shared level decided, not the own one.
+  bool informed = true;  ///< The reports of the other nodes arrive.
+};
+
 /**
  * Token buckets of all customers. Each node deducts what it admits at once and
  * what the other nodes admit when they report it. For nodes that are silent
@@ -74,6 +84,9 @@
     return this->admitted;
   }
 
+  /** The inputs of a decision on a customer; defaults without a limit. */
+  QuotaView View(std::string_view customer) const;
+
   /** Time until a request of @p cost would be admitted, if nothing else is. */
   Milliseconds TimeUntil(const Customer& customer, double cost) const;
 
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -184,6 +184,16 @@
   }
 }
 
+QuotaView QuotaTable::View(std::string_view customer) const {
+  const auto found = this->buckets.find(customer);
+  if (found == this->buckets.end()) {
+    return {};
+  }
+  const Bucket& bucket = found->second;
+  return {bucket.level, bucket.own_level,     bucket.rate,
+          this->nodes,  this->Pooled(bucket), this->informed};
+}
+
 Milliseconds QuotaTable::TimeUntil(const Customer& customer,
                                    double cost) const {
   const auto found = this->buckets.find(customer.name);
