--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -26,6 +26,21 @@
     ASSERT_TRUE(this->Holds());
   }
 
+  /** A configuration with a service whose servers are ordered. */
+  static std::shared_ptr<serving::ServingConfig> ScaledConfig() {
+    auto config = Config(5);
+    serving::Service service;
+    service.name = "llm";
+    service.engine.emplace();
+    service.engine->slots = 12;
+    service.scaling.emplace();
+    service.scaling->min = 1;
+    service.scaling->max = 60;
+    service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}, {"c", 1.0}};
+    config->services.push_back(service);
+    return config;
+  }
+
   bool Holds() const {
     return lease::MayAct(this->state.lease, kDutyLease,
                          lease::ServerFencing::kIgnored, this->now)
@@ -124,16 +139,7 @@
 // servers seen first, just before the traffic begins.
 TEST_F(DutyTest, ServersOfTheStartAreCountedOnceAllHaveRegistered) {
   this->state.settings.orders_servers = true;
-  auto config = Config(5);
-  serving::Service service;
-  service.name = "llm";
-  service.engine.emplace();
-  service.engine->slots = 12;
-  service.scaling.emplace();
-  service.scaling->min = 1;
-  service.scaling->max = 60;
-  service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}, {"c", 1.0}};
-  config->services.push_back(service);
+  const auto config = ScaledConfig();
   this->Gain();
   this->Apply(ConfigRead{50, config, "{}"});
   constexpr int kServers = 60;
@@ -217,16 +223,7 @@
 // listed and must not wait for them to register.
 TEST_F(DutyTest, LaterHolderOrdersAtOnce) {
   this->state.settings.orders_servers = true;
-  auto config = Config(5);
-  serving::Service service;
-  service.name = "llm";
-  service.engine.emplace();
-  service.engine->slots = 12;
-  service.scaling.emplace();
-  service.scaling->min = 1;
-  service.scaling->max = 60;
-  service.scaling->zone_price = {{"a", 1.0}, {"b", 1.0}};
-  config->services.push_back(service);
+  const auto config = ScaledConfig();
   this->Configure();
   this->Apply(ConfigRead{50, config, "{}"});
   this->TickFor(milliseconds(200));
