--- a/tests/soak/link_faults.cc
+++ b/tests/soak/link_faults.cc
@@ -21,7 +21,7 @@
 Endpoint LinkFaults::Add(const std::string& name, const Endpoint& target) {
   auto proxy = std::make_unique<standin::TcpProxy>(
       0, target, this->seed * 31 + this->links.size());
-  const Endpoint address{"127.0.0.1", proxy->Port()};
+  Endpoint address{"127.0.0.1", proxy->Port()};
   this->links.push_back({name, std::move(proxy)});
   return address;
 }
