Count no ordered servers among those of the start

On the grown sites servers register for six seconds, longer than ordered ones take to boot.

Once an order is accepted only on-demand servers count. The test fails without it (26 where 14 are due).

--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -268,9 +268,13 @@
   if (scaling.initial_counted) {
     return true;
   }
+  // Servers that were ordered meanwhile are no initial ones.
+  const bool ordered = std::any_of(
+      scaling.orders.begin(), scaling.orders.end(),
+      [](const auto& entry) { return entry.second.ordered.has_value(); });
   uint32_t total = 0;
   for (const auto& [zone, servers] : zones) {
-    total += servers.on_demand + servers.reclaimable;
+    total += servers.on_demand + (ordered ? 0 : servers.reclaimable);
   }
   if (total > scaling.initial_servers || !scaling.grown_at) {
     scaling.initial_servers = total;
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -169,6 +169,36 @@
   EXPECT_GE(order->count, kServers * 2 / 3 / 2);
 }
 
+// Pattern: start of a large deployment. Its servers register for longer than
+// the ordered ones take to boot. Guards against counting those as servers of
+// the start, and ordering ever more (found on ascb-wharf-grown quiet-1).
+TEST_F(DutyTest, OrderedServersAreNotCountedAsServersOfTheStart) {
+  this->state.settings.orders_servers = true;
+  const auto config = ScaledConfig();
+  this->Gain();
+  this->Apply(ConfigRead{50, config, "{}"});
+  constexpr uint32_t kServers = 30;
+  std::map<std::string, uint32_t> ordered;
+  uint64_t revision = 100;
+  for (uint32_t i = 0; i < 2 * kServers; ++i) {
+    serving::BackendServer server = Server("server-" + std::to_string(i));
+    server.zone = std::string(1, static_cast<char>('a' + i % 3));
+    server.reclaimable = i >= kServers;  // These were ordered.
+    this->Apply(ServerChanged{++revision, server.id, server});
+    if (const auto order = this->RunUntil<OrderServers>(milliseconds(200))) {
+      ordered[order->zone] = std::max(ordered[order->zone], order->count);
+      this->Apply(ServersOrdered{order->service, order->zone,
+                                 order->reclaimable, order->count, true,
+                                 false});
+    }
+  }
+  // Two thirds of the servers of the start (the fixture has two more), on two
+  // of three zones, with the surplus of 1.3, rounded up.
+  for (const auto& [zone, count] : ordered) {
+    EXPECT_LE(count, 14U) << zone;
+  }
+}
+
 TEST_F(DutyTest, HolderSavesQuotaLevelsAndRestartsTakeFreshOnes) {
   this->Gain();
   serving::TrafficReport report;
