Split the orders of servers from the duties

Orders move to scaling_cmd.cc; functions are moved unchanged, the last part of AdvanceDuties() becomes OrderNeededServers().

--- a/packages/fleet/src/duty_cmd.h
+++ b/packages/fleet/src/duty_cmd.h
@@ -1,6 +1,6 @@
 /**
  * @file duty_cmd.h
- * The duties of the node that holds the lease: usage reports and orders.
+ * The duties of the node that holds the lease.
  */
 #pragma once
 
@@ -36,12 +36,6 @@
                    TimePoint now,
                    std::vector<Effect>& effects);
 
-/** Applies the result of OrderServers. */
-void TakeOrderAnswer(FleetState& state,
-                     const ServersOrdered& answer,
-                     TimePoint now,
-                     std::vector<Effect>& effects);
-
 /** Candidacy, renewals, due reports and orders. */
 void AdvanceDuties(FleetState& state,
                    TimePoint now,
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "duty_cmd.h"
+#include "scaling_cmd.h"
 #include "spread_cmd.h"
 
 namespace boragewharf::fleet {
