Log cancelled requests and late event loops

Change. request_cancelled lines with the stage, unacknowledged bytes and the server's silence, requests_cancelled_total by stage, histograms traffic_loop_delay_ms and control_loop_delay_ms with loop_delayed lines.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -81,6 +81,13 @@
 
   bool IsOpen() const { return this->socket.is_open(); }
 
+  /**
+   * Whether the client's end of the connection has been received although no
+   * read has reported it yet. Bytes that lie before the end hide it.
+   * @note Costs a system call.
+   */
+  bool ClientClosed();
+
   /** Whether no request is being read or answered. */
   bool IsIdle() const {
     return !this->busy && this->input.empty() && !this->parser;
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -238,6 +238,21 @@
   this->Read();
 }
 
+bool ServerConnection::ClientClosed() {
+  if (!this->socket.is_open()) {
+    return true;
+  }
+  boost::system::error_code error;
+  this->socket.non_blocking(true, error);
+  char next = 0;
+  const size_t size = this->socket.receive(asio::buffer(&next, sizeof(next)),
+                                           tcp::socket::message_peek, error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return false;
+  }
+  return error.failed() || size == 0;
+}
+
 void ServerConnection::Abort() {
   this->busy = false;
   this->Close();
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -20,6 +20,7 @@
 #include "fleet/platform_base.h"
 #include "httpio/http_channel_base.h"
 #include "httpio/server_connection_base.h"
+#include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 
 namespace boragewharf::node {
@@ -97,6 +98,7 @@
   TrafficSide& traffic;
   EventLog& log;
   CounterRegistry& counters;
+  LoopDelay delay;
   fleet::FleetState state;
   boost::asio::ip::udp::socket socket;
   boost::asio::ip::udp::endpoint sender;
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "node/control_loop_base.h"
+#include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 #include "relay/traffic_core_base.h"
 
@@ -61,6 +62,7 @@
   std::string settings_path;
   CounterRegistry counters;
   std::unique_ptr<EventLog> log;
+  LoopDelay traffic_delay;  ///< Traffic loop only.
   boost::asio::io_context control_loop{1};
   boost::asio::io_context traffic_loop{1};
   std::unique_ptr<fleet::Platform> platform;
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -127,6 +127,7 @@
       traffic(traffic_side),
       log(event_log),
       counters(registry),
+      delay("control", event_log, registry),
       state(MakeFleetSettings(node_settings)),
       socket(event_loop),
       timer(event_loop) {}
@@ -304,11 +305,13 @@
 }
 
 void ControlLoop::Tick() {
+  this->delay.Observe(BootClock::now());
   this->Handle(fleet::Tick{WallNow().time_since_epoch().count()});
   const TimePoint now = BootClock::now();
   for (const auto& server : this->servers) {
     server->listener.CheckTime(now);
   }
+  this->delay.Expect(BootClock::now() + fleet::kTickPeriod);
   this->timer.expires_after(fleet::kTickPeriod);
   this->timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -62,6 +62,7 @@
       log(MakeStdoutEventLog(settings.name,
                              settings.log_lines_per_second,
                              counters)),
+      traffic_delay("traffic", *log, counters),
       platform(make_platform(control_loop, *log, counters)),
       signals(control_loop, SIGTERM, SIGINT, SIGHUP),
       settings_timer(control_loop) {
@@ -199,6 +200,7 @@
 
 void Node::TickTraffic() {
   const TimePoint now = BootClock::now();
+  this->traffic_delay.Observe(now);
   this->traffic->CheckTime(now);
   if (this->clients) {
     this->clients->CheckTime(now);
@@ -223,6 +225,8 @@
       return;
     }
   }
+  this->traffic_delay.Expect(BootClock::now() +
+                             relay::TrafficCore::kTickPeriod);
   this->traffic_timer->expires_after(relay::TrafficCore::kTickPeriod);
   this->traffic_timer->async_wait([this](const boost::system::error_code& e) {
     if (!e) {
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -4,6 +4,10 @@
  */
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
+#include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 #include "node/peer_codec.h"
 
@@ -86,5 +90,37 @@
   EXPECT_FALSE(Decompress(std::string_view(packed).substr(0, 5)));
 }
 
+/** Counts lines. */
+class CountingLog : public EventLog {
+ public:
+  void Write(EventLevel,
+             std::string_view event,
+             std::initializer_list<EventField>) override {
+    this->lines[std::string(event)] += 1;
+  }
+
+  std::map<std::string, uint32_t> lines;
+};
+
+// Guards against a node whose lag cannot be seen: requests and departures of
+// clients are read too late, and no line tells it.
+TEST(LoopDelayTest, DelaysAreCountedAndLongOnesAreLogged) {
+  CountingLog log;
+  CounterRegistry counters;
+  LoopDelay delay("traffic", log, counters);
+  const TimePoint start = BootClock::now();
+  delay.Observe(start);
+  EXPECT_EQ(counters.Get("traffic_loop_delay_ms_count").Get(), 0)
+      << "nothing was due";
+  delay.Expect(start);
+  delay.Observe(start + std::chrono::milliseconds(3));
+  EXPECT_EQ(log.lines["loop_delayed"], 0U);
+  delay.Expect(start);
+  delay.Observe(start + std::chrono::milliseconds(600));
+  EXPECT_EQ(log.lines["loop_delayed"], 1U);
+  EXPECT_EQ(counters.Get("traffic_loop_delay_ms_count").Get(), 2);
+  EXPECT_EQ(counters.Get("traffic_loop_delay_ms_bucket", "le=\"5\"").Get(), 1);
+}
+
 }  // namespace
 }  // namespace boragewharf::node
--- a/packages/relay/include/relay/upstream_connection_base.h
+++ b/packages/relay/include/relay/upstream_connection_base.h
@@ -72,6 +72,9 @@
   /** Whether the connection is established. */
   bool Connected() const { return this->connected; }
 
+  /** Bytes that the server has not acknowledged, or -1 if it isn't known. */
+  int64_t UnacknowledgedBytes();
+
   /** Time of the last byte in either direction. */
   TimePoint LastActive() const { return this->last_active; }
 
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -22,6 +22,12 @@
 /** A repeat needs at least this much time to be worth sending. */
 inline constexpr std::chrono::milliseconds kLeastTimeLeft(150);
 
+/** Whole milliseconds, for log lines. */
+inline int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 /** Lives while the client waits. Not thread-safe; on the traffic loop. */
 class Exchange : public UpstreamListener,
                  public std::enable_shared_from_this<Exchange> {
@@ -46,6 +52,9 @@
   /** The client left; the server's work is cancelled. */
   void OnClientGone();
 
+  /** The client had closed its connection before the request was read. */
+  void NoteClosedBeforeRead() { this->closed_before_read = true; }
+
   /** Applies the time bounds and moves away from leaving servers. */
   void CheckTime(TimePoint now);
 
@@ -147,6 +156,7 @@
   bool answer_started = false;
   bool counted_run = false;
   bool done = false;
+  bool closed_before_read = false;
   std::optional<uint64_t> last_event_id;
   uint32_t events = 0;
   TimePoint first_event_at;
--- /dev/null
+++ b/packages/relay/src/exchange_end.cc
@@ -0,0 +1,128 @@
+/**
+ * @file exchange_end.cc
+ * Refusals, cancellations and the end of a request, with their log lines.
+ */
+#include <utility>
+
+#include "exchange_base.h"
+
+namespace boragewharf::relay {
+
+using serving::Milliseconds;
+
+void Exchange::LogQuota(double cost) {
+  const serving::QuotaView view = this->core.quotas.View(this->customer->name);
+  this->core.log.Write(
+      EventLevel::kWarning, "quota_exceeded",
+      {{"id", this->request.facts.attempt_id},
+       {"customer", this->customer->name},
+       {"cost", static_cast<int64_t>(cost)},
+       {"level", static_cast<int64_t>(view.level)},
+       {"own_level", static_cast<int64_t>(view.own_level)},
+       {"rate", static_cast<int64_t>(view.rate)},
+       {"nodes", view.nodes},
+       {"pooled", view.pooled},
+       {"informed", view.informed},
+       {"load_age_ms", Millis(this->arrived - this->core.pool.PeerLoadsAt())}});
+}
+
+void Exchange::Refuse(uint32_t status,
+                      std::optional<Milliseconds> retry_after,
+                      std::string_view reason) {
+  const bool not_run = status == 429 || status == 503;
+  if (not_run && this->customer != nullptr && this->quota_cost > 0) {
+    this->core.quotas.Refund(this->customer->name, this->quota_cost);
+  }
+  httpio::Fields fields =
+      this->core.wire.AnswerFields(this->request.facts.attempt_id, retry_after);
+  fields.emplace_back("Content-Type", "application/json");
+  const std::string text = "{\"error\":\"" + std::string(reason) + "\"}";
+  const bool keep = !this->core.leaving && this->client->KeepAlive();
+  this->client->Send(httpio::MakeResponse(status, fields, text, keep));
+  this->Finish(reason, status);
+}
+
+void Exchange::AbortClient(std::string_view reason) {
+  const auto self = this->shared_from_this();
+  const auto connection = this->client;
+  this->Finish(reason, 0);
+  connection->Abort();
+}
+
+void Exchange::OnClientGone() {
+  const auto self = this->shared_from_this();
+  const TimePoint now = BootClock::now();
+  std::string_view stage = "not_sent";
+  if (this->attempt && this->attempt->sent) {
+    stage = this->answer_started ? "answering" : "waiting";
+  } else if (this->attempt) {
+    stage = "connecting";
+  }
+  this->core.log.Write(
+      EventLevel::kInfo, "request_cancelled",
+      {{"id", this->request.facts.attempt_id},
+       {"server", this->attempt ? this->attempt->server->server.id : ""},
+       {"stage", stage},
+       {"closed_before_read", this->closed_before_read},
+       {"moving", this->move.step == MoveStep::kCopying ||
+                      this->move.step == MoveStep::kStopping},
+       {"unacknowledged_bytes",
+        this->attempt ? this->attempt->connection->UnacknowledgedBytes() : 0},
+       {"server_silent_ms",
+        this->attempt ? Millis(now - this->attempt->last_byte) : 0},
+       {"after_ms", Millis(now - this->arrived)}});
+  this->core.counters
+      .Get("requests_cancelled_total", "stage=\"" + std::string(stage) + "\"")
+      .Add();
+  this->Finish("client_gone", 0);
+}
+
+void Exchange::Finish(std::string_view outcome, uint32_t status) {
+  if (this->done) {
+    return;
+  }
+  this->done = true;
+  const auto self = this->shared_from_this();
+  const TimePoint now = BootClock::now();
+  const bool served = outcome == "served";
+  std::string server_id;
+  if (this->attempt) {
+    server_id = this->attempt->server->server.id;
+    this->ReleaseAttempt();
+  }
+  const int64_t first_event =
+      this->events > 0 ? Millis(this->first_event_at - this->arrived) : -1;
+  this->core.log.Write(
+      served ? EventLevel::kInfo : EventLevel::kWarning, "request",
+      {{"id", this->request.facts.attempt_id},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"customer", this->customer == nullptr ? "" : this->customer->name},
+       {"config", this->config == nullptr ? 0 : this->config->version},
+       {"servers_revision", this->core.servers_revision},
+       {"server", server_id},
+       {"sends", this->sends},
+       {"events", this->events},
+       {"first_event_ms", first_event},
+       {"prompt_tokens", this->request.facts.prompt_tokens},
+       {"shared_tokens", serving::SharedTokens(this->request.facts)},
+       {"prefix", serving::SharedPart(this->request.facts)},
+       {"read_tokens", this->chosen_by.read_tokens},
+       {"expected_ms", this->chosen_by.expected_ms},
+       {"running_seen", this->chosen_by.running},
+       {"prefill_seen", this->chosen_by.prefill_tokens},
+       {"load_age_ms", this->chosen_by.load_age_ms},
+       {"copy_from", this->chosen_by.copy_from},
+       {"total_ms", Millis(now - this->arrived)},
+       {"status", status},
+       {"outcome", outcome}});
+  this->core.counters
+      .Get("requests_total", "outcome=\"" + std::string(outcome) + "\"")
+      .Add();
+  const auto connection = this->client;
+  this->core.exchanges.erase(connection.get());
+  if (connection->IsOpen() && status != 0) {
+    connection->EndResponse(!this->core.leaving);
+  }
+}
+
+}  // namespace boragewharf::relay
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -239,6 +239,9 @@
   const auto exchange = std::make_shared<Exchange>(
       *this, connection, std::move(decoded), std::move(request.body));
   this->exchanges[connection.get()] = exchange;
+  if (connection->ClientClosed()) {
+    exchange->NoteClosedBeforeRead();
+  }
   exchange->Start();
 }
 
--- a/packages/relay/src/upstream_connection_base.cc
+++ b/packages/relay/src/upstream_connection_base.cc
@@ -4,7 +4,9 @@
  */
 #include "relay/upstream_connection_base.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -239,6 +241,15 @@
   }
 }
 
+int64_t UpstreamConnection::UnacknowledgedBytes() {
+  int queued = 0;
+  if (!this->connected ||
+      ioctl(this->socket.native_handle(), SIOCOUTQ, &queued) != 0) {
+    return -1;
+  }
+  return queued;
+}
+
 bool UpstreamConnection::Reusable() const {
   return this->connected && !this->closed && this->clean;
 }
