Reset connections whose request is given up

What callers saw (reported): work went on for callers that had left (GONE).

The node cancels by closing the connection to the server in order. What is still in the send buffer (a long prompt on a slow link, bytes that a cut holds up) is then delivered first and the end last, so the server begins or goes on with an abandoned request. Class: ending a conversation through the queue that has to be skipped.

A connection whose request has no complete answer is closed with a reset, which discards unsent bytes. It concerns every way in which an attempt is given up: departures of clients, silent servers, time-outs, moves.

All 37 cases of adapter_test pass.

--- a/packages/relay/include/relay/upstream_connection_base.h
+++ b/packages/relay/include/relay/upstream_connection_base.h
@@ -60,7 +60,11 @@
             bool head_request,
             UpstreamListener& listener);
 
-  /** Ends the attempt without further calls of the listener. */
+  /**
+   * Ends the attempt without further calls of the listener. A connection whose
+   * request has not been answered completely is reset: bytes of it that the
+   * server has not received yet are discarded instead of delivered later.
+   */
   void Close();
 
   /** Stops or resumes reading, for back pressure. */
@@ -112,6 +116,7 @@
   bool accepted = false;   ///< ... and took it as its answer.
   bool clean = true;       ///< Nothing unexpected was received so far.
   bool closed = false;
+  bool in_progress = false;  ///< A request has no complete answer.
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/upstream_connection_base.cc
+++ b/packages/relay/src/upstream_connection_base.cc
@@ -37,6 +37,7 @@
   this->body = std::move(request_body);
   this->head_request = is_head_request;
   this->listener = &receiver;
+  this->in_progress = true;
   this->paused = false;
   this->NewParser();
   this->last_active = BootClock::now();
@@ -207,6 +208,7 @@
     this->clean = false;
   }
   UpstreamListener* receiver = std::exchange(this->listener, nullptr);
+  this->in_progress = false;
   this->last_active = BootClock::now();
   receiver->OnComplete();
   if (!this->Reusable()) {
@@ -231,6 +233,9 @@
   this->closed = true;
   this->connected = false;
   boost::system::error_code ignored;
+  if (this->in_progress) {
+    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
+  }
   this->socket.close(ignored);
 }
 
