Reset the connection of a call that is given up

HttpChannel closes in order when a call's time is over. An order to the cloud, a write to the store or a move that is still in the send buffer is delivered when the path heals, after its caller has given it up, and possibly after another holder has acted.

A call without a complete answer ends with a reset of its connection; an answered one with Connection: close ends in order as before.

--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -119,7 +119,9 @@
     if (error) {
       const bool complete =
           error == asio::error::eof && this->parser->FinishAtEnd();
-      this->Disconnect();
+      if (complete) {
+        this->Disconnect();
+      }
       this->Finish(complete);
       return;
     }
@@ -143,13 +145,14 @@
   void Finish(bool complete) {
     // The callback may destroy the channel.
     const auto self = this->shared_from_this();
+    if (!complete) {
+      this->Abandon();
+    }
     this->busy = false;
     this->timer.cancel();
     if (complete) {
       this->result.head = std::move(this->parser->head);
       this->last_used = std::chrono::steady_clock::now();
-    } else {
-      this->Disconnect();
     }
     Callback callback = std::move(this->queue.front().second);
     this->queue.pop_front();
@@ -163,6 +166,14 @@
     this->socket.close(ignored);
   }
 
+  /** Resets the connection of a call that is given up; what has not been
+   * delivered of it never is. */
+  void Abandon() {
+    boost::system::error_code ignored;
+    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
+    this->Disconnect();
+  }
+
   Endpoint server;
   tcp::socket socket;
   asio::steady_timer timer;
@@ -183,6 +194,9 @@
 
 HttpChannel::~HttpChannel() {
   this->state->stopped = true;
+  if (this->state->busy) {
+    this->state->Abandon();
+  }
   this->state->busy = false;
   this->state->timer.cancel();
   this->state->Disconnect();
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -10,6 +10,7 @@
 #include "httpio/http_channel_base.h"
 #include "httpio/message_parser_base.h"
 #include "httpio/server_connection_base.h"
+#include "stalled_server.h"
 
 namespace boragewharf::httpio {
 namespace {
@@ -235,6 +236,29 @@
   EXPECT_EQ(this->listener.Connections(), 2U) << "the client's and one more";
 }
 
+// Guards against orders that take effect after their caller has given them up:
+// a call in the send buffer of a slow or healed path is delivered late.
+TEST_F(ConnectionTest, CallInTheSendBufferIsDiscardedAtItsTimeout) {
+  constexpr size_t kBodyBytes = 500000;
+  StalledServer stalled(this->loop);
+  HttpChannel channel(this->loop, stalled.Address());
+  HttpCall call;
+  call.method = "POST";
+  call.target = "/order";
+  call.body = std::string(kBodyBytes, 'o');
+  call.timeout = milliseconds(100);
+  bool ended_without_answer = false;
+  channel.Call(call, [&](const HttpResult& result) {
+    ended_without_answer = result.sent && !result.head;
+  });
+  this->loop.run_for(milliseconds(300));
+  ASSERT_TRUE(stalled.Accepted());
+  EXPECT_TRUE(ended_without_answer);
+  std::string received;
+  EXPECT_EQ(stalled.ReadAll(received), asio::error::connection_reset);
+  EXPECT_LT(received.size(), kBodyBytes);
+}
+
 TEST_F(ConnectionTest, CallWithoutAnswerEndsInTime) {
   HttpChannel channel(this->loop, {"127.0.0.1", this->port});
   HttpCall call;
