Leave servers that send bytes without end

Each byte of a body counted as progress, so an attempt that never ended was waited for until the deadline (504) or until 16 MB had been buffered (the client was cut off); an event without end was buffered without a bound, and the buffers of all requests together had none (200 MB in the test, on instances of 160 MB).

Only bytes that can complete an answer count as progress: events of a stream, bodies of an announced length. Events are bounded by 256 KB, the buffers of all requests by 32 MB; beyond that the attempt is malformed and goes to another server where that is allowed. last_byte is last_progress.

--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -86,6 +86,9 @@
   /** Applies time-outs; called every kTickPeriod. */
   void CheckTime(TimePoint now);
 
+  /** Bytes of answers that are held back until they are complete. */
+  size_t BufferedBytes() const { return this->buffered_bytes; }
+
   /** Requests in progress. */
   size_t InProgress() const { return this->exchanges.size(); }
 
@@ -99,6 +102,9 @@
                  httpio::InboundRequest request) override;
   void OnClientGone(httpio::ServerConnection& connection) override;
 
+  /** Bound on BufferedBytes(); a fifth of the smallest node's memory. */
+  static constexpr size_t kMaxBufferedBytes = size_t{32} * 1024 * 1024;
+
   /** Period of CheckTime(); bounds the lateness of time-outs. */
   static constexpr std::chrono::milliseconds kTickPeriod{50};
 
@@ -122,6 +128,7 @@
   ServerPool pool;
   std::shared_ptr<const serving::ServingConfig> config;
   uint64_t servers_revision = 0;
+  size_t buffered_bytes = 0;
   bool servers_known = false;
   bool leaving = false;
   uint32_t nodes = 1;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -20,6 +20,9 @@
 /** Largest answer that is buffered before it is forwarded. */
 constexpr size_t kMaxBufferedAnswer = size_t{16} * 1024 * 1024;
 
+/** Largest event of a stream; engines send some hundred bytes. */
+constexpr size_t kMaxEventBytes = size_t{256} * 1024;
+
 /** Clients give up a stream after this, four goals or eight gap goals. */
 constexpr Milliseconds kClientPatience(2000);
 
@@ -30,20 +33,44 @@
 
 void Exchange::OnBody(std::string_view bytes) {
   const TimePoint now = BootClock::now();
-  this->attempt->last_byte = now;
   const serving::ResponseFacts& facts = *this->attempt->facts;
   const bool streaming = this->IsStream() && facts.event_stream &&
                          facts.stamped && facts.status / 100 == 2 &&
                          !facts.attempt_id.empty();
   if (!streaming) {
-    this->buffered.append(bytes);
-    if (this->buffered.size() > kMaxBufferedAnswer) {
-      this->AbortClient("answer_too_large");
-    }
+    this->BufferBody(bytes, now);
     return;
   }
   this->splitter.Append(bytes);
   this->ForwardEvents(now);
+  if (this->attempt && this->splitter.Rest().size() > kMaxEventBytes) {
+    this->GiveUpAttempt(AttemptFailure::kMalformed);
+  }
+}
+
+void Exchange::BufferBody(std::string_view bytes, TimePoint now) {
+  if (this->attempt->sized) {
+    // Without a length, more bytes do not bring the end any nearer.
+    this->attempt->last_progress = now;
+  }
+  this->buffered.append(bytes);
+  this->core.buffered_bytes += bytes.size();
+  if (this->buffered.size() > kMaxBufferedAnswer ||
+      this->core.buffered_bytes > TrafficCore::kMaxBufferedBytes) {
+    this->GiveUpAttempt(AttemptFailure::kMalformed);
+  }
+}
+
+void Exchange::DropBuffered() {
+  this->core.buffered_bytes -= this->buffered.size();
+  this->buffered.clear();
+  this->buffered.shrink_to_fit();
+}
+
+void Exchange::GiveUpAttempt(AttemptFailure failure) {
+  const auto self = this->shared_from_this();
+  this->attempt->connection->Close();
+  this->AfterFailure(failure);
 }
 
 void Exchange::ForwardEvents(TimePoint now) {
@@ -62,6 +89,7 @@
   if (whole.empty()) {
     return;
   }
+  this->attempt->last_progress = now;
   if (!this->attempt->first_event) {
     this->attempt->first_event = true;
     this->EndPrefill();
@@ -188,6 +216,7 @@
   }
   answer += "\r\n";
   answer += this->buffered;
+  this->DropBuffered();
   this->client->Send(std::move(answer));
   this->Finish(facts.status / 100 == 2 ? "served" : "server_status",
                facts.status);
@@ -241,13 +270,12 @@
 void Exchange::CheckSilence(TimePoint now) {
   if (!this->attempt->sent) {
     if (now - this->attempt->started > kConnectTimeout) {
-      this->attempt->connection->Close();
-      this->AfterFailure(AttemptFailure::kNotSent);
+      this->GiveUpAttempt(AttemptFailure::kNotSent);
     }
     return;
   }
   if (this->move.step == MoveStep::kStopping ||
-      now - this->attempt->last_byte < this->SilenceBound() ||
+      now - this->attempt->last_progress < this->SilenceBound() ||
       !this->ResendInsteadOfWaiting(now)) {
     return;
   }
@@ -261,8 +289,7 @@
   if (!other) {
     return;
   }
-  this->attempt->connection->Close();
-  this->AfterFailure(AttemptFailure::kSilent);
+  this->GiveUpAttempt(AttemptFailure::kSilent);
 }
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -82,6 +82,7 @@
 
 Exchange::~Exchange() {
   this->ReleaseAttempt();
+  this->DropBuffered();
 }
 
 bool Exchange::IsStream() const {
@@ -241,7 +242,7 @@
   Attempt next;
   next.server = server;
   next.started = now;
-  next.last_byte = now;
+  next.last_progress = now;
   this->core.pool.NotePrefix(*server, serving::SharedPart(this->request.facts),
                              now);
   if (!fields.move) {
@@ -255,7 +256,7 @@
   this->core.demand[this->service_name].running += 1;
   next.connection = this->core.pool.Acquire(*server, max_idle, now);
   this->splitter.Reset();
-  this->buffered.clear();
+  this->DropBuffered();
   this->attempt = std::move(next);
   const auto connection = this->attempt->connection;
   connection->Send(this->core.wire.EncodeRequest(this->request, fields),
@@ -288,7 +289,7 @@
 
 void Exchange::OnSending() {
   this->attempt->sent = true;
-  this->attempt->last_byte = BootClock::now();
+  this->attempt->last_progress = BootClock::now();
   this->sends += 1;
 }
 
@@ -298,12 +299,14 @@
       facts.attempt_id != this->request.facts.attempt_id) {
     return false;
   }
-  this->attempt->last_byte = BootClock::now();
+  this->attempt->last_progress = BootClock::now();
   if (facts.keep_alive) {
     this->attempt->connection->SetKeepAlive(
         std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(*facts.keep_alive)));
   }
+  this->attempt->sized =
+      !httpio::FindField(head.fields, "Content-Length").empty();
   this->attempt->facts = std::move(facts);
   return true;
 }
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -77,10 +77,11 @@
     std::shared_ptr<PooledServer> server;
     std::shared_ptr<UpstreamConnection> connection;
     TimePoint started;
-    TimePoint last_byte;
+    TimePoint last_progress;  ///< Last byte that belongs to an answer.
     bool sent = false;
     bool completed = false;       ///< The response is complete.
     bool first_event = false;     ///< Events have arrived from it.
+    bool sized = false;           ///< The body's length was announced.
     uint32_t prefill_tokens = 0;  ///< Still counted as load.
     std::optional<serving::ResponseFacts> facts;
   };
@@ -113,6 +114,9 @@
   void EndPrefill();
   void CompleteStream();
   void CompleteBuffered();
+  void BufferBody(std::string_view bytes, TimePoint now);
+  void DropBuffered();
+  void GiveUpAttempt(serving::AttemptFailure failure);
   void ForwardEvents(TimePoint now);
   void SendStreamHead();
   void SendChunk(std::string_view bytes);
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -76,7 +76,7 @@
        {"unacknowledged_bytes",
         this->attempt ? this->attempt->connection->UnacknowledgedBytes() : 0},
        {"server_silent_ms",
-        this->attempt ? Millis(now - this->attempt->last_byte) : 0},
+        this->attempt ? Millis(now - this->attempt->last_progress) : 0},
        {"after_ms", Millis(now - this->arrived)}});
   this->core.counters
       .Get("requests_cancelled_total", "stage=\"" + std::string(stage) + "\"")
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -59,8 +59,7 @@
     // It has not begun to run; another server starts it afresh.
     if (*server.leaves_at - now < kLastMoveTime && this->attempt->sent &&
         this->ResendInsteadOfWaiting(now)) {
-      this->attempt->connection->Close();
-      this->AfterFailure(serving::AttemptFailure::kSilent);
+      this->GiveUpAttempt(serving::AttemptFailure::kSilent);
     }
     return;
   }
