Free the copy of a move whose client has left

When a client leaves while its stream is being moved, the answer to the move call is dropped. The copy then holds a place and memory at the target until the engine gives it up by itself, in a reclaim wave, when places are scarce.

The answer of a move whose request has ended frees its copy at the target (DELETE of the handle); copy_freed lines, moves_total with result=client_gone. The channel for such calls is made in one place.

--- a/packages/relay/include/relay/request_wire_base.h
+++ b/packages/relay/include/relay/request_wire_base.h
@@ -64,6 +64,13 @@
   /** Decodes the answer to a move call. */
   virtual MoveAnswer DecodeMove(uint32_t status,
                                 std::string_view body) const = 0;
+
+  /**
+   * Call that frees a copy which nobody will continue from.
+   * @return Empty if the handle could not be part of a path.
+   */
+  virtual std::optional<httpio::InboundRequest> EncodeFreeCopy(
+      std::string_view handle) const = 0;
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -36,7 +36,7 @@
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   /** When a request with a shared prefix was last sent here by any node. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
-  std::unique_ptr<httpio::HttpChannel> moves;  ///< For move calls.
+  std::unique_ptr<httpio::HttpChannel> calls;  ///< Reports, moves, copies.
   /** Requests whose connection broke without an answer, by time. */
   std::deque<std::pair<TimePoint, uint64_t>> broken;
 };
@@ -93,6 +93,9 @@
                                               Duration max_idle,
                                               TimePoint now);
 
+  /** Channel for calls to a server about its requests, one at a time. */
+  httpio::HttpChannel& CallChannel(PooledServer& pooled);
+
   /** Returns a connection after a complete response. */
   void Release(PooledServer& server,
                std::shared_ptr<UpstreamConnection> connection);
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -135,6 +135,10 @@
   bool OutlivesNotice(TimePoint now) const;
   void StartMove();
   void CallMove(bool stop);
+  /** Frees the copy at @p target that a move made for a request that ended. */
+  static void FreeCopy(TrafficCore& core,
+                       PooledServer& target,
+                       const MoveAnswer& answer);
   void OnMoveAnswer(bool stop, const httpio::HttpResult& result);
   void ContinueFromMove();
 
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -18,6 +18,9 @@
 /** Time for a call that copies memory; copies take some dozen ms. */
 constexpr Milliseconds kMoveTimeout(1200);
 
+/** Time for a call that frees a copy. */
+constexpr Milliseconds kFreeCopyTimeout(400);
+
 /** Notice left at which every run is moved, whatever its estimate. */
 constexpr Milliseconds kLastMoveTime(900);
 
@@ -87,11 +90,6 @@
 }
 
 void Exchange::CallMove(bool stop) {
-  PooledServer& source = *this->attempt->server;
-  if (!source.moves) {
-    source.moves = std::make_unique<httpio::HttpChannel>(this->core.loop,
-                                                         source.server.address);
-  }
   MoveCall wanted;
   wanted.attempt_id = this->request.facts.attempt_id;
   wanted.target_address = ToString(this->move.target->server.address);
@@ -103,13 +101,44 @@
   call.fields = std::move(encoded.fields);
   call.body = std::move(encoded.body);
   call.timeout = kMoveTimeout;
-  source.moves->Call(std::move(call), [weak = this->weak_from_this(),
-                                       stop](const httpio::HttpResult& result) {
+  const auto take_answer = [weak = this->weak_from_this(), &core = this->core,
+                            target = this->move.target,
+                            stop](const httpio::HttpResult& result) {
     const auto self = weak.lock();
     if (self && !self->done) {
       self->OnMoveAnswer(stop, result);
+      return;
+    }
+    if (result.head) {
+      FreeCopy(core, *target,
+               core.wire.DecodeMove(result.head->status, result.body));
     }
-  });
+  };
+  this->core.pool.CallChannel(*this->attempt->server)
+      .Call(std::move(call), take_answer);
+}
+
+void Exchange::FreeCopy(TrafficCore& core,
+                        PooledServer& target,
+                        const MoveAnswer& answer) {
+  auto encoded =
+      answer.copied ? core.wire.EncodeFreeCopy(answer.handle) : std::nullopt;
+  if (!encoded) {
+    return;  // No copy was made, or it ends by itself after a while.
+  }
+  core.counters.Get("moves_total", "result=\"client_gone\"").Add();
+  httpio::HttpCall call;
+  call.method = std::move(encoded->method);
+  call.target = std::move(encoded->target);
+  call.timeout = kFreeCopyTimeout;
+  core.pool.CallChannel(target).Call(
+      std::move(call), [&core, id = target.server.id, handle = answer.handle](
+                           const httpio::HttpResult& result) {
+        core.log.Write(EventLevel::kInfo, "copy_freed",
+                       {{"server", id},
+                        {"handle", handle},
+                        {"status", result.head ? result.head->status : 0}});
+      });
 }
 
 void Exchange::OnMoveAnswer(bool stop, const httpio::HttpResult& result) {
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -224,6 +224,14 @@
   pooled.idle.push_back(std::move(connection));
 }
 
+httpio::HttpChannel& ServerPool::CallChannel(PooledServer& pooled) {
+  if (!pooled.calls) {
+    pooled.calls = std::make_unique<httpio::HttpChannel>(this->loop,
+                                                         pooled.server.address);
+  }
+  return *pooled.calls;
+}
+
 void ServerPool::NoteSuccess(PooledServer& pooled) {
   pooled.failure_rate *= 1 - kFailureWeight;
   pooled.failures_in_row = 0;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -96,16 +96,11 @@
     pooled->leaves_at =
         now + (pooled->server.reclaimable ? Duration(kAssumedNotice)
                                           : this->bounds.drain);
-    if (!pooled->moves) {
-      pooled->moves = std::make_unique<httpio::HttpChannel>(
-          this->loop, pooled->server.address);
-    }
     httpio::HttpCall call;
     call.method = "GET";
     call.target = this->wire.ReportTarget();
     call.timeout = kReportTimeout;
-    pooled->moves->Call(std::move(call), [this, pooled](
-                                             const httpio::HttpResult& result) {
+    const auto take_report = [this, pooled](const httpio::HttpResult& result) {
       if (!result.head || result.head->status != 200) {
         return;  // The assumed notice stands.
       }
@@ -118,7 +113,8 @@
           {{"server", pooled->server.id},
            {"running", pooled->own.running},
            {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
-    });
+    };
+    this->pool.CallChannel(*pooled).Call(std::move(call), take_report);
   }
 }
 
