Name the copies that a move leaves over by what they are

The copy is freed whenever the request has ended while it was made: its client left, or the run came to its end. The label and the pages named the first only.

No decision changes.

--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -126,7 +126,7 @@
   if (!encoded) {
     return;  // No copy was made, or it ends by itself after a while.
   }
-  core.counters.Get("moves_total", "result=\"client_gone\"").Add();
+  core.counters.Get("moves_total", "result=\"unused\"").Add();
   httpio::HttpCall call;
   call.method = std::move(encoded->method);
   call.target = std::move(encoded->target);
