--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -221,9 +221,16 @@
                      const ServersOrdered& answer,
                      TimePoint now,
                      std::vector<Effect>& effects) {
+  effects.emplace_back(
+      LogChange{"servers_ordered",
+                answer.service + " " + answer.zone +
+                    (answer.reclaimable ? " reclaimable " : " on-demand ") +
+                    std::to_string(answer.count) +
+                    (answer.accepted ? " accepted" : " refused"),
+                state.servers_revision});
   const auto service = state.scaling.find(answer.service);
   if (service == state.scaling.end()) {
-    return;
+    return;  // Decided by an earlier tenure.
   }
   OrderState& order = service->second.orders[{answer.zone, answer.reclaimable}];
   order.in_flight = false;
@@ -236,13 +243,6 @@
     order.unavailable_until = now + kRefusalMemory;
     order.ordered.reset();
   }
-  effects.emplace_back(
-      LogChange{"servers_ordered",
-                answer.service + " " + answer.zone +
-                    (answer.reclaimable ? " reclaimable " : " on-demand ") +
-                    std::to_string(answer.count) +
-                    (answer.accepted ? " accepted" : " refused"),
-                state.servers_revision});
 }
 
 void OrderNeededServers(FleetState& state,
--- a/packages/httpio/include/httpio/http_channel_base.h
+++ b/packages/httpio/include/httpio/http_channel_base.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "base/endpoint_type.h"
+#include "base/time_type.h"
 #include "httpio/message_parser_base.h"
 
 namespace boragewharf::httpio {
@@ -31,7 +32,8 @@
 
 /** Its result. */
 struct HttpResult {
-  bool sent = false;  ///< Bytes of the call may have reached the server.
+  /** When the first bytes left; empty: none have reached the server. */
+  std::optional<TimePoint> sent_at;
   std::optional<ResponseHead> head;  ///< Absent without a complete response.
   std::string body;
 };
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -92,7 +92,7 @@
           "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
     }
     this->output += "\r\n" + call.body;
-    this->result.sent = true;
+    this->result.sent_at = BootClock::now();
     asio::async_write(
         this->socket, asio::buffer(this->output),
         [self = this->shared_from_this(), started = this->generation](
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -249,7 +249,7 @@
   call.timeout = milliseconds(100);
   bool ended_without_answer = false;
   channel.Call(call, [&](const HttpResult& result) {
-    ended_without_answer = result.sent && !result.head;
+    ended_without_answer = result.sent_at && !result.head;
   });
   this->loop.run_for(milliseconds(300));
   ASSERT_TRUE(stalled.Accepted());
@@ -267,7 +267,7 @@
   call.timeout = milliseconds(60);
   bool ended_without_answer = false;
   channel.Call(call, [&](const HttpResult& result) {
-    ended_without_answer = result.sent && !result.head;
+    ended_without_answer = result.sent_at && !result.head;
   });
   this->loop.run_for(milliseconds(300));
   EXPECT_TRUE(ended_without_answer);
