Let no call of a duty leave after its right has ended

The right was asked once a step; the calls then waited in the queue of one connection, each with a time-out of its own that began at its turn. Up to six orders that wait for a slow or lossy path left seconds later, after the lease had lapsed or been released and a successor acted. The trace in: an order left 3.8 s after the release of its number, 1.1 s after the successor's first call. A call takes a Permit, which only the lease makes: number and end. It is checked when the call's turn comes and again when the connection is open; a call under way is reset at that time. A loss of the lease ends all calls before the release is written. An order that waits gives way to a newer one for the same servers, so what leaves is what is wanted. Why it works. The release, and the lapse with its margin, now come after the last byte of the last call; the successor's wait of a second has to cover the network only.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -17,6 +17,7 @@
 #include "fleet/peer_table_base.h"
 #include "fleet/scaling_policy_base.h"
 #include "lease/lease_type.h"
+#include "lease/permit_base.h"
 #include "serving/config_type.h"
 #include "serving/peer_type.h"
 #include "serving/server_type.h"
@@ -215,7 +216,7 @@
 struct SendUsage {
   int64_t window = 0;
   NamedCounts counts;
-  FencingNumber fencing;
+  lease::Permit permit;
 };
 
 /** Order servers from the platform; ends with ServersOrdered. */
@@ -224,9 +225,13 @@
   std::string zone;
   bool reclaimable = false;
   uint32_t count = 0;
-  FencingNumber fencing;
+  lease::Permit permit;
 };
 
+/** No call of the duties reaches the platform after this; comes before the
+ * release of the lease is written. */
+struct EndDutyCalls {};
+
 /** Save what would be lost if all nodes were killed; no event. */
 struct SaveProgress {
   std::map<std::string, double> levels;  ///< Of quotas, by customer.
@@ -261,6 +266,7 @@
                             DropUsage,
                             SendUsage,
                             OrderServers,
+                            EndDutyCalls,
                             SaveProgress,
                             ReadProgress,
                             RestoreQuotas,
@@ -278,8 +284,8 @@
 
 /** Orders for one kind of server of a service in a zone. */
 struct OrderState {
-  std::optional<uint32_t> ordered;  ///< Last accepted number.
-  bool in_flight = false;
+  std::optional<uint32_t> ordered;    ///< Last accepted number.
+  std::optional<uint32_t> requested;  ///< Number of the newest open order.
   TimePoint next_try;
   TimePoint ordered_at;
   std::optional<TimePoint> lower_since;  ///< Fewer have been wanted since.
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -53,9 +53,14 @@
   /** Reports a window; yields UsageSent. */
   virtual void Send(const SendUsage& usage, EventSink sink) = 0;
 
-  /** Orders servers; yields ServersOrdered. */
+  /** Orders servers; yields ServersOrdered. An order that still waits gives way
+   * to a newer one for the same servers. */
   virtual void Order(const OrderServers& order, EventSink sink) = 0;
 
+  /** Ends the calls of Send() and Order() that wait or are under way; they
+   * yield their events without success. */
+  virtual void EndDutyCalls() = 0;
+
   /**
    * Decodes a configuration as another node read it.
    * @return nullptr if it cannot be read.
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -39,7 +39,7 @@
              .count();
 }
 
-std::optional<FencingNumber> DutyNumber(const FleetState& state,
+std::optional<lease::Permit> DutyPermit(const FleetState& state,
                                         TimePoint now) {
   return lease::MayAct(state.lease, kDutyLease, lease::ServerFencing::kIgnored,
                        now);
@@ -50,7 +50,7 @@
   if (state.leaving || !state.config) {
     return false;
   }
-  if (DutyNumber(state, now)) {
+  if (DutyPermit(state, now)) {
     return true;
   }
   if (state.lost_duty && now - *state.lost_duty < kAbstain) {
@@ -83,6 +83,7 @@
       // Counts of processes that ended before this one heard of them.
       effects.emplace_back(ReadProgress{});
     } else {
+      effects.emplace_back(EndDutyCalls{});
       state.lost_duty = now;
     }
     // Nothing is known of what another holder has done meanwhile.
@@ -113,7 +114,7 @@
 
 void AdvanceWindow(FleetState& state,
                    int64_t window,
-                   FencingNumber fencing,
+                   const lease::Permit& permit,
                    TimePoint now,
                    std::vector<Effect>& effects) {
   WindowProgress& progress = state.windows[window];
@@ -129,11 +130,11 @@
     return;
   }
   progress.step = WindowProgress::Step::kSending;
-  effects.emplace_back(SendUsage{window, progress.counts, fencing});
+  effects.emplace_back(SendUsage{window, progress.counts, permit});
 }
 
 void ReportUsage(FleetState& state,
-                 FencingNumber fencing,
+                 const lease::Permit& permit,
                  TimePoint now,
                  std::vector<Effect>& effects) {
   const auto length =
@@ -147,7 +148,7 @@
   state.usage.Forget(current - kStoredWindows);
   for (int64_t window = current - kOpenWindows; window < current; ++window) {
     if (wall >= (window + 1) * length + kUsageSettle.count()) {
-      AdvanceWindow(state, window, fencing, now, effects);
+      AdvanceWindow(state, window, permit, now, effects);
     }
   }
   while (!state.windows.empty() &&
@@ -182,7 +183,7 @@
 }  // namespace
 
 bool HoldsDuties(const FleetState& state, TimePoint now) {
-  return DutyNumber(state, now).has_value();
+  return DutyPermit(state, now).has_value();
 }
 
 std::set<std::string> DutyNodes(const FleetState& state, TimePoint now) {
@@ -258,13 +259,13 @@
                    std::vector<Effect>& effects) {
   RunLease(state, lease::DutyWanted{kDutyLease, IsCandidate(state, now)}, now,
            effects);
-  const auto fencing = DutyNumber(state, now);
-  if (!fencing) {
+  const auto permit = DutyPermit(state, now);
+  if (!permit) {
     return;
   }
-  ReportUsage(state, *fencing, now, effects);
+  ReportUsage(state, *permit, now, effects);
   SaveOwnProgress(state, now, effects);
-  OrderNeededServers(state, *fencing, now, effects);
+  OrderNeededServers(state, *permit, now, effects);
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -148,22 +148,25 @@
            bool reclaimable,
            uint32_t wanted,
            uint32_t present,
-           FencingNumber fencing,
+           const lease::Permit& permit,
            TimePoint now,
            std::vector<Effect>& effects) {
   OrderState& order = scaling.orders[{zone, reclaimable}];
-  if (order.in_flight || now < order.next_try) {
+  if (now < order.next_try) {
     return;
   }
+  // An open order counts as placed; a newer one replaces it.
+  const std::optional<uint32_t> placed =
+      order.requested ? order.requested : order.ordered;
   // Servers that were taken back have to be ordered again.
   const bool missing =
-      present < wanted &&
+      !order.requested && present < wanted &&
       now - order.ordered_at > service.scaling->boot + kMissingAfter;
-  if (order.ordered == wanted && !missing) {
+  if (placed == wanted && !missing) {
     return;
   }
   // Servers that are given up and needed again soon cost their boot time.
-  const bool lower = order.ordered && wanted < *order.ordered;
+  const bool lower = placed && wanted < *placed;
   if (!lower) {
     order.lower_since.reset();
   } else if (!order.lower_since) {
@@ -172,25 +175,25 @@
   if (lower && now - *order.lower_since < kLowerAfter) {
     return;
   }
-  if (!order.ordered && wanted == present) {
+  if (!placed && wanted == present) {
     order.ordered = wanted;
     order.ordered_at = now;
     return;
   }
-  order.in_flight = true;
+  order.requested = wanted;
   effects.emplace_back(
-      OrderServers{service.name, zone, reclaimable, wanted, fencing});
+      OrderServers{service.name, zone, reclaimable, wanted, permit});
 }
 
 void ScaleService(FleetState& state,
                   const serving::Service& service,
-                  FencingNumber fencing,
+                  const lease::Permit& permit,
                   TimePoint now,
                   std::vector<Effect>& effects) {
   ScalingState& scaling = state.scaling[service.name];
   const ScalingDemand demand = TotalDemand(state, service.name, now);
   const auto zones = CountServers(state, service, scaling, now);
-  const bool starting = fencing == lease::kFirstFencing;
+  const bool starting = permit.Number() == lease::kFirstFencing;
   const bool counted = CountInitialServers(scaling, zones, starting, now);
   const uint32_t needed = NeedNow(scaling, service, demand, now);
   const ZonePlans plans =
@@ -204,14 +207,14 @@
       if (plan.reclaimable >
           std::max(servers.reclaimable, ordered.value_or(0))) {
         Order(scaling, service, zone, true, plan.reclaimable,
-              servers.reclaimable, fencing, now, effects);
+              servers.reclaimable, permit, now, effects);
       }
       continue;
     }
     Order(scaling, service, zone, true, plan.reclaimable, servers.reclaimable,
-          fencing, now, effects);
+          permit, now, effects);
     Order(scaling, service, zone, false, plan.on_demand, servers.on_demand,
-          fencing, now, effects);
+          permit, now, effects);
   }
 }
 
@@ -233,8 +236,10 @@
     return;  // Decided by an earlier tenure.
   }
   OrderState& order = service->second.orders[{answer.zone, answer.reclaimable}];
-  order.in_flight = false;
-  order.next_try = now + kRetryPeriod;
+  if (order.requested == answer.count) {
+    order.requested.reset();
+    order.next_try = now + kRetryPeriod;
+  }
   if (answer.accepted) {
     order.ordered = answer.count;
     order.ordered_at = now;
@@ -246,7 +251,7 @@
 }
 
 void OrderNeededServers(FleetState& state,
-                        FencingNumber fencing,
+                        const lease::Permit& permit,
                         TimePoint now,
                         std::vector<Effect>& effects) {
   if (!state.settings.orders_servers || now < state.next_scaling ||
@@ -256,7 +261,7 @@
   state.next_scaling = now + kScalingPeriod;
   for (const serving::Service& service : state.config->services) {
     if (service.scaling && service.engine) {
-      ScaleService(state, service, fencing, now, effects);
+      ScaleService(state, service, permit, now, effects);
     }
   }
 }
--- a/packages/fleet/src/scaling_cmd.h
+++ b/packages/fleet/src/scaling_cmd.h
@@ -21,10 +21,10 @@
 
 /**
  * Orders the servers that the demand needs, if that is a duty here.
- * @pre This node holds the duties with @p fencing.
+ * @param permit The right of this node to give orders.
  */
 void OrderNeededServers(FleetState& state,
-                        FencingNumber fencing,
+                        const lease::Permit& permit,
                         TimePoint now,
                         std::vector<Effect>& effects);
 
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -269,5 +269,70 @@
   ASSERT_TRUE(order) << "the order bound is one second";
 }
 
+// Guards against orders on the way when a successor may act (incident ONE on
+// kbtc-wharf): they are ended before the release is written.
+TEST_F(DutyTest, CallsAreEndedBeforeTheLeaseIsReleased) {
+  this->Gain();
+  this->Apply(StopRequested{});
+  std::vector<std::string> order;
+  for (int i = 0; i < 20 && order.size() < 2; ++i) {
+    this->now += kTickPeriod;
+    this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+    for (const Effect& effect : this->effects) {
+      const auto* call = std::get_if<LeaseCall>(&effect);
+      const auto* write = call == nullptr
+                              ? nullptr
+                              : std::get_if<lease::WriteLease>(&call->call);
+      if (std::holds_alternative<EndDutyCalls>(effect)) {
+        order.emplace_back("calls ended");
+      } else if (write != nullptr && write->record.released) {
+        order.emplace_back("released");
+      }
+    }
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{"calls ended", "released"}));
+}
+
+// Guards against orders on the way when the lease lapses unnoticed.
+TEST_F(DutyTest, CallsAreEndedWhenTheLeaseLapses) {
+  this->Gain();
+  this->now += seconds(30);  // Frozen.
+  this->Apply(Tick{kWall + (this->now - TimePoint{}) / milliseconds(1)});
+  EXPECT_NE(this->Find<EndDutyCalls>(), nullptr);
+}
+
+// Pattern: orders wait for a slow cloud API while the demand rises. Guards
+// against an order that is out of date when it leaves.
+TEST_F(DutyTest, OpenOrderIsReplacedWhenMoreServersAreNeeded) {
+  this->state.settings.orders_servers = true;
+  const auto config = ScaledConfig();
+  this->Gain();
+  this->Apply(ConfigRead{50, config, "{}"});
+  const auto first = this->RunUntil<OrderServers>(seconds(12));
+  ASSERT_TRUE(first);
+  serving::TrafficReport report;
+  report.demand[serving::HashName("llm")].running = 400;
+  this->Apply(TrafficReported{report});
+  std::optional<OrderServers> next;
+  do {
+    next = this->RunUntil<OrderServers>(seconds(2));
+    ASSERT_TRUE(next) << "the open order holds back a newer one";
+  } while (next->zone != first->zone ||
+           next->reclaimable != first->reclaimable);
+  EXPECT_GT(next->count, first->count);
+  // The older one had left and was accepted; the newer one is still open.
+  const auto placed = [&] {
+    return this->state.scaling.at("llm").orders.at(
+        {first->zone, first->reclaimable});
+  };
+  this->Apply(ServersOrdered{first->service, first->zone, first->reclaimable,
+                             first->count, true, false});
+  EXPECT_EQ(placed().requested, next->count);
+  this->Apply(ServersOrdered{next->service, next->zone, next->reclaimable,
+                             next->count, true, false});
+  EXPECT_EQ(placed().ordered, next->count);
+  EXPECT_FALSE(placed().requested);
+}
+
 }  // namespace
 }  // namespace boragewharf::fleet
--- a/packages/httpio/include/httpio/http_channel_base.h
+++ b/packages/httpio/include/httpio/http_channel_base.h
@@ -27,7 +27,13 @@
   std::string target;
   Fields fields;
   std::string body;
-  std::chrono::milliseconds timeout{2000};  ///< For the whole call.
+  std::chrono::milliseconds timeout{2000};  ///< From when its turn comes.
+
+  /** The call does not leave from then on, and is reset if it is under way. */
+  std::optional<TimePoint> not_after;
+
+  /** A call with the same subject that still waits is dropped; empty: none. */
+  std::string subject;
 };
 
 /** Its result. */
@@ -57,6 +63,12 @@
    */
   void Call(HttpCall call, Callback callback);
 
+  /**
+   * Ends all calls without an answer: the one under way is reset, those that
+   * wait do not leave. Their callbacks are called by the event loop.
+   */
+  void CancelAll();
+
   /** Calls queued or under way. */
   size_t Pending() const;
 
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -4,6 +4,8 @@
  */
 #include "httpio/http_channel_base.h"
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -34,14 +36,22 @@
     this->result = {};
     this->input.clear();
     const HttpCall& call = this->queue.front().first;
+    if (this->Overdue()) {
+      this->Finish(Outcome::kWithheld);
+      return;
+    }
     this->parser = std::make_unique<ResponseParser>(
         [this](std::string_view b) { this->result.body.append(b); });
-    this->timer.expires_after(call.timeout);
+    Duration time = call.timeout;
+    if (call.not_after) {
+      time = std::min(time, *call.not_after - BootClock::now());
+    }
+    this->timer.expires_after(time);
     this->timer.async_wait(
         [self = this->shared_from_this(),
          started = this->generation](const boost::system::error_code& error) {
           if (!error && self->busy && self->generation == started) {
-            self->Finish(false);
+            self->Finish(Outcome::kFailed);
           }
         });
     const bool stale =
@@ -60,18 +70,18 @@
     boost::system::error_code error;
     const auto address = asio::ip::make_address(this->server.host, error);
     if (error) {
-      this->Finish(false);
+      this->Finish(Outcome::kFailed);
       return;
     }
+    const tcp::endpoint target(address, this->server.port);
     this->socket.async_connect(
-        tcp::endpoint(address, this->server.port),
-        [self = this->shared_from_this(),
-         started = this->generation](const boost::system::error_code& failed) {
+        target, [self = this->shared_from_this(), started = this->generation](
+                    const boost::system::error_code& failed) {
           if (self->generation != started || !self->busy) {
             return;
           }
           if (failed) {
-            self->Finish(false);
+            self->Finish(Outcome::kFailed);
             return;
           }
           boost::system::error_code ignored;
@@ -80,8 +90,18 @@
         });
   }
 
+  /** Whether the call at the head may not leave any more. */
+  bool Overdue() const {
+    const HttpCall& call = this->queue.front().first;
+    return call.not_after && BootClock::now() >= *call.not_after;
+  }
+
   void SendCall() {
     const HttpCall& call = this->queue.front().first;
+    if (this->Overdue()) {
+      this->Finish(Outcome::kWithheld);
+      return;
+    }
     this->output = call.method + " " + call.target +
                    " HTTP/1.1\r\nHost: " + ToString(this->server) + "\r\n";
     for (const auto& [name, value] : call.fields) {
@@ -98,7 +118,7 @@
         [self = this->shared_from_this(), started = this->generation](
             const boost::system::error_code& error, size_t) {
           if (error && self->busy && self->generation == started) {
-            self->Finish(false);
+            self->Finish(Outcome::kFailed);
           }
         });
     this->Read();
@@ -122,14 +142,14 @@
       if (complete) {
         this->Disconnect();
       }
-      this->Finish(complete);
+      this->Finish(complete ? Outcome::kComplete : Outcome::kFailed);
       return;
     }
     this->input.append(this->chunk.data(), size);
     const size_t used = this->parser->Feed(this->input);
     this->input.erase(0, used);
     if (this->parser->Failed() || this->result.body.size() > kMaxBodyBytes) {
-      this->Finish(false);
+      this->Finish(Outcome::kFailed);
       return;
     }
     if (!this->parser->is_done()) {
@@ -139,18 +159,21 @@
     if (!this->parser->keep_alive() || !this->input.empty()) {
       this->Disconnect();
     }
-    this->Finish(true);
+    this->Finish(Outcome::kComplete);
   }
 
-  void Finish(bool complete) {
+  /** How the call at the head ended. */
+  enum class Outcome : uint8_t { kComplete, kFailed, kWithheld };
+
+  void Finish(Outcome outcome) {
     // The callback may destroy the channel.
     const auto self = this->shared_from_this();
-    if (!complete) {
+    if (outcome == Outcome::kFailed) {
       this->Abandon();
     }
     this->busy = false;
     this->timer.cancel();
-    if (complete) {
+    if (outcome == Outcome::kComplete) {
       this->result.head = std::move(this->parser->head);
       this->last_used = std::chrono::steady_clock::now();
     }
@@ -161,6 +184,46 @@
     this->Next();
   }
 
+  /** Ends a call that has not left; its callback runs later. */
+  void Drop(Callback callback) {
+    asio::post(this->socket.get_executor(),
+               [callback = std::move(callback)] { callback({}); });
+  }
+
+  void CancelAll() {
+    if (this->busy) {
+      this->Abandon();
+      this->timer.cancel();
+      // The handlers of this call no longer find it.
+      this->generation += 1;
+      this->busy = false;
+      asio::post(this->socket.get_executor(),
+                 [callback = std::move(this->queue.front().second),
+                  ended = std::move(this->result)] { callback(ended); });
+      this->queue.pop_front();
+    }
+    while (!this->queue.empty()) {
+      this->Drop(std::move(this->queue.front().second));
+      this->queue.pop_front();
+    }
+  }
+
+  /** Drops a call of the same subject that waits. */
+  void Replace(const std::string& subject) {
+    if (subject.empty()) {
+      return;
+    }
+    // The call at the head may have left.
+    const auto first = this->queue.begin() + (this->busy ? 1 : 0);
+    const auto waiting = std::find_if(
+        first, this->queue.end(),
+        [&](const auto& entry) { return entry.first.subject == subject; });
+    if (waiting != this->queue.end()) {
+      this->Drop(std::move(waiting->second));
+      this->queue.erase(waiting);
+    }
+  }
+
   void Disconnect() {
     boost::system::error_code ignored;
     this->socket.close(ignored);
@@ -203,10 +266,15 @@
 }
 
 void HttpChannel::Call(HttpCall call, Callback callback) {
+  this->state->Replace(call.subject);
   this->state->queue.emplace_back(std::move(call), std::move(callback));
   this->state->Next();
 }
 
+void HttpChannel::CancelAll() {
+  this->state->CancelAll();
+}
+
 size_t HttpChannel::Pending() const {
   return this->state->queue.size();
 }
--- /dev/null
+++ b/packages/httpio/tests/channel_test.cc
@@ -0,0 +1,130 @@
+/**
+ * @file channel_test.cc
+ * Calls that may leave for a limited time only.
+ */
+#include <gtest/gtest.h>
+
+#include "httpio/http_channel_base.h"
+#include "httpio/server_connection_base.h"
+
+namespace boragewharf::httpio {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/** Keeps the paths of requests; answers them only when told to. */
+class HeldHandler : public RequestHandler {
+ public:
+  void OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                 InboundRequest request) override {
+    this->paths.push_back(request.target);
+    this->waiting = connection;
+  }
+  void OnClientGone(ServerConnection&) override { ++this->gone; }
+
+  void Answer() {
+    this->waiting->Send(MakeResponse(200, {}, "ok", true));
+    this->waiting->EndResponse(true);
+  }
+
+  std::vector<std::string> paths;
+  std::shared_ptr<ServerConnection> waiting;
+  int gone = 0;
+};
+
+class ChannelTest : public testing::Test {
+ protected:
+  static uint16_t FreePort() {
+    asio::io_context loop;
+    asio::ip::tcp::acceptor acceptor(loop,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  void Call(const std::string& path,
+            std::optional<TimePoint> not_after = std::nullopt,
+            const std::string& subject = "") {
+    HttpCall call;
+    call.method = "GET";
+    call.target = path;
+    call.timeout = milliseconds(2000);
+    call.not_after = not_after;
+    call.subject = subject;
+    this->channel.Call(call, [this, path](const HttpResult& result) {
+      this->results[path] = result.head      ? "answered"
+                            : result.sent_at ? "sent"
+                                             : "not sent";
+    });
+  }
+
+  void RunFor(int ms) { this->loop.run_for(milliseconds(ms)); }
+
+  asio::io_context loop;
+  HeldHandler handler;
+  Endpoint address{"127.0.0.1", FreePort()};
+  HttpListener listener{loop, address, handler};
+  HttpChannel channel{loop, address};
+  std::map<std::string, std::string> results;
+};
+
+// Guards against an order that waits behind others and leaves after the right
+// of its holder has ended (incident ONE on kbtc-wharf).
+TEST_F(ChannelTest, CallThatWaitedPastItsTimeDoesNotLeave) {
+  this->Call("/first");
+  this->Call("/second", BootClock::now() + milliseconds(100));
+  this->RunFor(200);
+  this->handler.Answer();
+  this->Call("/third", BootClock::now() + milliseconds(500));
+  this->RunFor(100);
+  EXPECT_EQ(this->results["/first"], "answered");
+  EXPECT_EQ(this->results["/second"], "not sent");
+  EXPECT_EQ(this->handler.paths,
+            (std::vector<std::string>{"/first", "/third"}));
+}
+
+// Guards against an order that is still being delivered when the right of its
+// holder has ended.
+TEST_F(ChannelTest, CallUnderWayIsResetWhenItsTimeIsOver) {
+  this->Call("/first", BootClock::now() + milliseconds(100));
+  this->RunFor(300);
+  EXPECT_EQ(this->results["/first"], "sent");
+  EXPECT_EQ(this->handler.gone, 1);
+}
+
+// Guards against orders on the way when a holder gives up its lease.
+TEST_F(ChannelTest, CancelledCallsEndAndLaterOnesAreServed) {
+  this->Call("/first");
+  this->Call("/second");
+  this->RunFor(50);
+  this->channel.CancelAll();
+  EXPECT_TRUE(this->results.empty()) << "callbacks run on the loop";
+  this->Call("/third");
+  this->RunFor(50);
+  this->handler.Answer();
+  this->RunFor(50);
+  EXPECT_EQ(this->results["/first"], "sent");
+  EXPECT_EQ(this->results["/second"], "not sent");
+  EXPECT_EQ(this->results["/third"], "answered");
+  EXPECT_EQ(this->handler.paths,
+            (std::vector<std::string>{"/first", "/third"}));
+}
+
+// Guards against an order that is out of date when its turn comes.
+TEST_F(ChannelTest, NewerCallReplacesOneOfItsSubjectThatWaits) {
+  this->Call("/a1", std::nullopt, "a");
+  this->Call("/a2", std::nullopt, "a");
+  this->Call("/b1", std::nullopt, "b");
+  this->Call("/a3", std::nullopt, "a");
+  for (int i = 0; i < 3; ++i) {
+    this->RunFor(50);
+    this->handler.Answer();
+  }
+  this->RunFor(50);
+  EXPECT_EQ(this->results["/a2"], "not sent");
+  EXPECT_EQ(this->handler.paths,
+            (std::vector<std::string>{"/a1", "/b1", "/a3"}));
+}
+
+}  // namespace
+}  // namespace boragewharf::httpio
--- a/packages/lease/include/lease/lease_func.h
+++ b/packages/lease/include/lease/lease_func.h
@@ -9,22 +9,23 @@
 #include <string_view>
 
 #include "lease/lease_type.h"
+#include "lease/permit_base.h"
 
 namespace boragewharf::lease {
 
 /**
- * Whether this member may give orders for a duty. Asked immediately before
- * each order with a fresh reading of the boot clock, because the process may
- * have been paused since the last event.
+ * Whether this member may give orders for a duty.
  * @param fencing Whether the addressed server checks the number.
- * @return The number for the order; empty optional with kLeaseLost and the
+ * @param now Fresh reading of the boot clock; the process may have been paused
+ *     since the last event.
+ * @return The right to give orders; empty optional with kLeaseLost and the
  *     reason as detail.
  * @note Not thread-safe with Reduce().
  */
-std::optional<FencingNumber> MayAct(const LeaseState& state,
-                                    std::string_view duty,
-                                    ServerFencing fencing,
-                                    TimePoint now);
+std::optional<Permit> MayAct(const LeaseState& state,
+                             std::string_view duty,
+                             ServerFencing fencing,
+                             TimePoint now);
 
 /** JSON text of a record. @note Thread-safe. */
 std::string EncodeLease(const LeaseRecord& record);
--- /dev/null
+++ b/packages/lease/include/lease/permit_base.h
@@ -0,0 +1,41 @@
+/**
+ * @file permit_base.h
+ * The right of a holder to give orders, as an order carries it.
+ */
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "base/strong_id_type.h"
+#include "lease/lease_type.h"
+
+namespace boragewharf::lease {
+
+/**
+ * The right to give orders with a fencing number until a time. An order that
+ * waits or is paused on its way checks it again when it leaves. Only MayAct()
+ * makes one. Immutable, hence thread-safe.
+ */
+class Permit {
+ public:
+  /** The number that the order carries. */
+  FencingNumber Number() const { return this->number; }
+
+  /** Boot clock time from which no order leaves. A renewal of the lease does
+   * not extend it, and a release ends the right before it. */
+  TimePoint Ends() const { return this->ends; }
+
+ private:
+  friend std::optional<Permit> MayAct(const LeaseState& state,
+                                      std::string_view duty,
+                                      ServerFencing fencing,
+                                      TimePoint now);
+
+  Permit(FencingNumber fencing, TimePoint end) : number(fencing), ends(end) {}
+
+  FencingNumber number;
+  TimePoint ends;
+};
+
+}  // namespace boragewharf::lease
--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -36,10 +36,10 @@
 
 }  // namespace
 
-std::optional<FencingNumber> MayAct(const LeaseState& state,
-                                    std::string_view duty,
-                                    ServerFencing fencing,
-                                    TimePoint now) {
+std::optional<Permit> MayAct(const LeaseState& state,
+                             std::string_view duty,
+                             ServerFencing fencing,
+                             TimePoint now) {
   const auto entry = state.duties.find(duty);
   if (entry == state.duties.end() || !entry->second.holding) {
     return Fail(ResultCode::kLeaseLost, "not held");
@@ -51,7 +51,7 @@
   if (fencing == ServerFencing::kIgnored && now < holding.settled_from) {
     return Fail(ResultCode::kLeaseLost, "earlier orders may be outstanding");
   }
-  return holding.fencing;
+  return Permit(holding.fencing, holding.expires);
 }
 
 std::string EncodeLease(const LeaseRecord& record) {
--- a/packages/lease/tests/lease_simulation_test.cc
+++ b/packages/lease/tests/lease_simulation_test.cc
@@ -244,11 +244,11 @@
     for (ServerFencing kind : kServerKinds) {
       std::set<MemberId> acting;
       for (const MemberPtr& member : this->members) {
-        const auto fencing =
+        const auto permit =
             MayAct(member->state, kDuty, kind, member->Now(this->time));
-        if (fencing) {
+        if (permit) {
           acting.insert(member->state.self);
-          this->CheckOrder(member->state.self, *fencing, kind);
+          this->CheckOrder(member->state.self, permit->Number(), kind);
         }
       }
       EXPECT_LE(acting.size(), 1U) << "two members may act";
--- a/packages/lease/tests/lease_test.cc
+++ b/packages/lease/tests/lease_test.cc
@@ -43,6 +43,13 @@
     return MayAct(this->state, kDuty, fencing, this->now).has_value();
   }
 
+  /** Number of the orders that may be given. */
+  std::optional<FencingNumber> OrderNumber() const {
+    const auto permit =
+        MayAct(this->state, kDuty, ServerFencing::kChecked, this->now);
+    return permit ? std::optional(permit->Number()) : std::nullopt;
+  }
+
   /** Reads a released lease of another member and takes it over. */
   void Acquire() {
     this->Apply(
@@ -61,8 +68,7 @@
 // successor on servers that ignore the number.
 TEST_F(LeaseTest, SuccessorWaitsForOutstandingOrders) {
   this->Acquire();
-  EXPECT_EQ(MayAct(state, kDuty, ServerFencing::kChecked, now),
-            FencingNumber{5});
+  EXPECT_EQ(OrderNumber(), FencingNumber{5});
   EXPECT_FALSE(MayActOn(ServerFencing::kIgnored));
   const Holding holding = *state.duties.at(kDuty).holding;
   EXPECT_EQ(holding.settled_from - now, kOrderBound);
@@ -187,8 +193,7 @@
   ASSERT_NE(Find<WriteLease>(), nullptr);
   EXPECT_FALSE(Find<WriteLease>()->expected);
   this->Apply(LeaseWritten{kDuty, {"v9"}});
-  EXPECT_EQ(MayAct(state, kDuty, ServerFencing::kChecked, now),
-            FencingNumber{6});
+  EXPECT_EQ(OrderNumber(), FencingNumber{6});
   EXPECT_FALSE(MayActOn(ServerFencing::kIgnored));
 }
 
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -206,6 +206,7 @@
           [&](const fleet::OrderServers& order) {
             this->platform.Order(order, sink);
           },
+          [&](const fleet::EndDutyCalls&) { this->platform.EndDutyCalls(); },
           [&](const fleet::SaveProgress& progress) {
             this->platform.Save(progress);
           },
