Discard what a killed holder has left in its connection

The kernel goes on sending what a killed process has written, and delivers it when a path heals; the process that takes over on the same instance waits one second only. ChannelProcessTest fails without the option: all 500,000 bytes of a process that ended arrive. All httpio tests pass.

--- a/packages/httpio/include/httpio/http_channel_base.h
+++ b/packages/httpio/include/httpio/http_channel_base.h
@@ -36,6 +36,16 @@
   std::string subject;
 };
 
+/** What a channel does with its connection. */
+struct ChannelOptions {
+  /**
+   * Bytes that have not been delivered after this, or when the connection or
+   * the process ends, are discarded by the kernel; empty: they may be delivered
+   * at any later time.
+   */
+  std::optional<std::chrono::milliseconds> delivery_bound;
+};
+
 /** Its result. */
 struct HttpResult {
   /** When the first bytes left; empty: none have reached the server. */
@@ -52,7 +62,9 @@
  public:
   using Callback = std::function<void(HttpResult)>;
 
-  HttpChannel(boost::asio::io_context& loop, Endpoint server);
+  HttpChannel(boost::asio::io_context& loop,
+              Endpoint server,
+              ChannelOptions options = {});
   ~HttpChannel();
   HttpChannel(const HttpChannel&) = delete;
   HttpChannel& operator=(const HttpChannel&) = delete;
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -4,6 +4,8 @@
  */
 #include "httpio/http_channel_base.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -18,14 +20,21 @@
 /** Largest response body of the platform or a node, in bytes. */
 constexpr size_t kMaxBodyBytes = size_t{16} * 1024 * 1024;
 
+/** Longest time in milliseconds for which sent bytes stay undelivered. */
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 /** Idle connections are not reused after this; servers close them silently. */
 constexpr std::chrono::seconds kMaxIdle(5);
 
 }  // namespace
 
 struct HttpChannel::State : std::enable_shared_from_this<HttpChannel::State> {
-  State(asio::io_context& loop, Endpoint address)
-      : server(std::move(address)), socket(loop), timer(loop) {}
+  State(asio::io_context& loop, Endpoint address, ChannelOptions chosen)
+      : server(std::move(address)),
+        options(chosen),
+        socket(loop),
+        timer(loop) {}
 
   void Next() {
     if (this->busy || this->queue.empty() || this->stopped) {
@@ -74,6 +83,7 @@
       return;
     }
     const tcp::endpoint target(address, this->server.port);
+    this->LimitDelivery(target.protocol());
     this->socket.async_connect(
         target, [self = this->shared_from_this(), started = this->generation](
                     const boost::system::error_code& failed) {
@@ -96,6 +106,19 @@
     return call.not_after && BootClock::now() >= *call.not_after;
   }
 
+  /** @pre The socket is closed. */
+  void LimitDelivery(const tcp& protocol) {
+    if (!this->options.delivery_bound) {
+      return;
+    }
+    boost::system::error_code ignored;
+    this->socket.open(protocol, ignored);
+    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
+    this->socket.set_option(
+        UserTimeout(static_cast<int>(this->options.delivery_bound->count())),
+        ignored);
+  }
+
   void SendCall() {
     const HttpCall& call = this->queue.front().first;
     if (this->Overdue()) {
@@ -238,6 +261,7 @@
   }
 
   Endpoint server;
+  ChannelOptions options;
   tcp::socket socket;
   asio::steady_timer timer;
   std::array<char, 16384> chunk{};
@@ -252,8 +276,10 @@
   bool stopped = false;
 };
 
-HttpChannel::HttpChannel(asio::io_context& loop, Endpoint server)
-    : state(std::make_shared<State>(loop, std::move(server))) {}
+HttpChannel::HttpChannel(asio::io_context& loop,
+                         Endpoint server,
+                         ChannelOptions options)
+    : state(std::make_shared<State>(loop, std::move(server), options)) {}
 
 HttpChannel::~HttpChannel() {
   this->state->stopped = true;
--- a/packages/httpio/tests/channel_test.cc
+++ b/packages/httpio/tests/channel_test.cc
@@ -3,9 +3,12 @@
  * Calls that may leave for a limited time only.
  */
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "httpio/http_channel_base.h"
 #include "httpio/server_connection_base.h"
+#include "stalled_server.h"
 
 namespace boragewharf::httpio {
 namespace {
@@ -64,7 +67,7 @@
   HeldHandler handler;
   Endpoint address{"127.0.0.1", FreePort()};
   HttpListener listener{loop, address, handler};
-  HttpChannel channel{loop, address};
+  HttpChannel channel{loop, address, {.delivery_bound = milliseconds(900)}};
   std::map<std::string, std::string> results;
 };
 
@@ -126,5 +129,34 @@
             (std::vector<std::string>{"/a1", "/b1", "/a3"}));
 }
 
+// Guards against orders that outlive their process: the kernel goes on sending
+// what a killed process has left in its connection, after a successor acts.
+TEST(ChannelProcessTest, BytesOfAKilledProcessAreDiscarded) {
+  constexpr size_t kBodyBytes = 500000;
+  asio::io_context loop;
+  StalledServer stalled(loop);
+  const pid_t child = fork();
+  ASSERT_GE(child, 0);
+  if (child == 0) {
+    asio::io_context child_loop;
+    HttpChannel channel(child_loop, stalled.Address(),
+                        {.delivery_bound = milliseconds(5000)});
+    HttpCall call;
+    call.method = "POST";
+    call.target = "/order";
+    call.body = std::string(kBodyBytes, 'o');
+    channel.Call(call, [](const HttpResult&) {});
+    child_loop.run_for(milliseconds(200));
+    _exit(0);  // As a kill does: no destructor runs.
+  }
+  loop.run_for(milliseconds(100));
+  ASSERT_TRUE(stalled.Accepted());
+  int status = 0;
+  ASSERT_EQ(waitpid(child, &status, 0), child);
+  std::string received;
+  EXPECT_EQ(stalled.ReadAll(received), asio::error::connection_reset);
+  EXPECT_LT(received.size(), kBodyBytes);
+}
+
 }  // namespace
 }  // namespace boragewharf::httpio
