Do not reuse a connection after an answer that names no request

What callers saw, as reported by other operators: 503, not run, for requests that a server had run, or such a request ran at a second server as well. Rejections carry no request id. A server that writes one once more on a kept connection has it read as the answer to the next request. The connection of an answer without a request id serves no further request, so that nothing is left to confuse. Rejections are rare enough for a new connection each.

--- a/packages/relay/include/relay/upstream_connection_base.h
+++ b/packages/relay/include/relay/upstream_connection_base.h
@@ -67,6 +67,9 @@
    */
   void Close();
 
+  /** Keeps the connection from being used for another request. */
+  void Retire() { this->clean = false; }
+
   /** Stops or resumes reading, for back pressure. */
   void SetPaused(bool pause);
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -305,6 +305,10 @@
         std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(*facts.keep_alive)));
   }
+  if (facts.attempt_id.empty()) {
+    // A copy of this answer could not be told from the next request's.
+    this->attempt->connection->Retire();
+  }
   this->attempt->sized =
       !httpio::FindField(head.fields, "Content-Length").empty();
   this->attempt->facts = std::move(facts);
