Compare names of JSON types in the stand-in as text

What was seen. The stand-in's faults were never set. PlatformState::Control compared two const char* by address. Whether equal literals share one is the compiler's choice; here they do not.

--- a/tests/standins/platform_state.cc
+++ b/tests/standins/platform_state.cc
@@ -308,7 +308,7 @@
   nlohmann::json merged = this->faults;
   for (const auto& [name, field] : patch.items()) {
     if (!merged.contains(name) ||
-        merged[name].type_name() != field.type_name()) {
+        std::string_view(merged[name].type_name()) != field.type_name()) {
       return Failure(400, "BadRequest");
     }
     merged[name] = field;
