Leave kept connections on which a server has sent more than its answer

What could be seen: the answer to a call of the platform, a server's control interface or another node taken for that of an earlier one. ChannelTest.RepeatedAnswerIsNotTakenForThatOfTheNextCall failed: the second call was answered before its server had answered it. A connection with unread bytes is closed before the next call. A copy that arrives after the next call was sent is still taken; such calls carry no id.

--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -65,7 +65,7 @@
         });
     const bool stale =
         std::chrono::steady_clock::now() - this->last_used > kMaxIdle;
-    if (this->socket.is_open() && stale) {
+    if (this->socket.is_open() && (stale || this->HasUnexpectedBytes())) {
       this->Disconnect();
     }
     if (this->socket.is_open()) {
@@ -100,6 +100,12 @@
         });
   }
 
+  /** Whether the server has sent more than the answers to earlier calls. */
+  bool HasUnexpectedBytes() {
+    boost::system::error_code error;
+    return this->socket.available(error) > 0;
+  }
+
   /** Whether the call at the head may not leave any more. */
   bool Overdue() const {
     const HttpCall& call = this->queue.front().first;
--- a/packages/httpio/tests/channel_test.cc
+++ b/packages/httpio/tests/channel_test.cc
@@ -129,6 +129,23 @@
             (std::vector<std::string>{"/a1", "/b1", "/a3"}));
 }
 
+// Guards against an answer that a server writes once more on a kept connection
+// and that the next call would take for its own.
+TEST_F(ChannelTest, RepeatedAnswerIsNotTakenForThatOfTheNextCall) {
+  this->Call("/first");
+  this->RunFor(50);
+  this->handler.Answer();
+  this->RunFor(50);
+  this->handler.waiting->Send(MakeResponse(200, {}, "ok", true));
+  this->RunFor(50);
+  this->Call("/second");
+  this->RunFor(50);
+  EXPECT_EQ(this->results.count("/second"), 0U) << "nothing has answered it";
+  this->handler.Answer();
+  this->RunFor(50);
+  EXPECT_EQ(this->results["/second"], "answered");
+}
+
 // Guards against orders that outlive their process: the kernel goes on sending
 // what a killed process has left in its connection, after a successor acts.
 TEST(ChannelProcessTest, BytesOfAKilledProcessAreDiscarded) {
