--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -20,8 +20,8 @@
 /** Nodes that stand by for the duties; each reads the lease. */
 constexpr size_t kCandidates = 3;
 
-/** A node that lost the duties leaves them to others for this time; what made it
- * lose them may last. The lease itself keeps holders from alternating. */
+/** A node that lost the duties leaves them to others for this time; what made
+ * it lose them may last. The lease itself keeps holders from alternating. */
 constexpr std::chrono::seconds kAbstain(6);
 
 /** Reports of other nodes arrive within this after a window's end. */
