Keep former holders in the unit of the record's text form

What could be seen: a holder that loses its duties without need, or takes them over late, while the store loses answers. LeaseTest.LostAnswerIsResolvedAlsoWithFormerHolders failed before.

--- a/packages/lease/include/lease/permit_base.h
+++ b/packages/lease/include/lease/permit_base.h
@@ -23,7 +23,7 @@
   FencingNumber Number() const { return this->number; }
 
   /** Boot clock time from which no order leaves. A renewal of the lease does
-   * not extend it, and a release ends the right before it. */
+   * not extend it; before a release the holder cancels its orders. */
   TimePoint Ends() const { return this->ends; }
 
  private:
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -184,7 +184,10 @@
     const auto keep = [&](const std::string& instance, TimePoint until) {
       if (until > this->now && !instance.empty() &&
           instance != this->state.instance) {
-        former.push_back({instance, until - this->now});
+        // In the unit of the text form, so that the record reads back equal.
+        former.push_back(
+            {instance,
+             std::chrono::ceil<std::chrono::milliseconds>(until - this->now)});
       }
     };
     for (const FormerHolder& holder : seen.record.former) {
--- a/packages/lease/tests/lease_test.cc
+++ b/packages/lease/tests/lease_test.cc
@@ -269,6 +269,7 @@
                 {"10.0.0.2", this->state.timing.lease_time - seconds(4)}}));
 }
 
+// Guards against a time without a holder because of those that stay out.
 TEST_F(LeaseTest, OtherInstancesTakeAReleasedLeaseAtOnce) {
   this->state.instance = "10.0.0.3";
   LeaseRecord released{MemberId{9}, FencingNumber{4}, 7, true, "10.0.0.2"};
@@ -304,6 +305,28 @@
   }
 }
 
+// Guards against a write that its sender does not recognize when it reads it
+// back: the text form of a record has a coarser unit than the clock.
+TEST_F(LeaseTest, LostAnswerIsResolvedAlsoWithFormerHolders) {
+  this->state.instance = "10.0.0.2";
+  this->Apply(LeaseRead{
+      kDuty, {"v1"}, {MemberId{9}, FencingNumber{4}, 7, true, "10.0.0.1"}});
+  this->Apply(LeaseWritten{kDuty, {"v2"}});
+  this->now += kRenewPeriod + std::chrono::microseconds(337);
+  this->Apply(Tick{});
+  ASSERT_NE(this->Find<WriteLease>(), nullptr);
+  const std::string stored = EncodeLease(this->Find<WriteLease>()->record);
+  const TimePoint renewed = this->now;
+  this->Apply(LeaseWriteFailed{kDuty, ResultCode::kStoreUnknown});
+  this->now += kBackoffFirst;
+  this->Apply(Tick{});
+  ASSERT_NE(this->Find<ReadLease>(), nullptr);
+  this->Apply(LeaseRead{kDuty, {"v3"}, *DecodeLease(stored)});
+  EXPECT_EQ(this->state.duties.at(kDuty).holding->expires,
+            renewed + this->state.timing.lease_time -
+                this->state.timing.holder_margin);
+}
+
 // Guards against a holder that lapsed unseen: it may have acted until its right
 // ended, which is later than its record was seen.
 TEST_F(LeaseTest, LapsedHolderStaysOutFromTheEndOfItsRight) {
