Let a newer call take the place of the one it replaces

A replaced order went to the end of the queue; with orders that change each 200 ms some would never leave. Callbacks of cancelled calls ran after their channel was destroyed, against its contract. Wording of four comments.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -228,7 +228,7 @@
   lease::Permit permit;
 };
 
-/** No call of the duties reaches the platform after this; comes before the
+/** No further byte of a duty's call is sent after this; comes before the
  * release of the lease is written. */
 struct EndDutyCalls {};
 
--- a/packages/httpio/include/httpio/http_channel_base.h
+++ b/packages/httpio/include/httpio/http_channel_base.h
@@ -32,7 +32,8 @@
   /** The call does not leave from then on, and is reset if it is under way. */
   std::optional<TimePoint> not_after;
 
-  /** A call with the same subject that still waits is dropped; empty: none. */
+  /** The call replaces one of the same subject that still waits, and ends that
+   * without an answer; empty: none. */
   std::string subject;
 };
 
@@ -71,7 +72,8 @@
 
   /**
    * Queues a call.
-   * @param callback Called exactly once, unless the channel is destroyed.
+   * @param callback Called exactly once, unless the channel is destroyed;
+   *     perhaps before this returns.
    */
   void Call(HttpCall call, Callback callback);
 
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -213,10 +213,15 @@
     this->Next();
   }
 
-  /** Ends a call that has not left; its callback runs later. */
-  void Drop(Callback callback) {
+  /** Calls back later, unless the channel is destroyed meanwhile. */
+  void Post(Callback callback, HttpResult ended) {
     asio::post(this->socket.get_executor(),
-               [callback = std::move(callback)] { callback({}); });
+               [self = this->shared_from_this(), callback = std::move(callback),
+                ended = std::move(ended)] {
+                 if (!self->stopped) {
+                   callback(ended);
+                 }
+               });
   }
 
   void CancelAll() {
@@ -226,31 +231,31 @@
       // The handlers of this call no longer find it.
       this->generation += 1;
       this->busy = false;
-      asio::post(this->socket.get_executor(),
-                 [callback = std::move(this->queue.front().second),
-                  ended = std::move(this->result)] { callback(ended); });
+      this->Post(std::move(this->queue.front().second),
+                 std::move(this->result));
       this->queue.pop_front();
     }
     while (!this->queue.empty()) {
-      this->Drop(std::move(this->queue.front().second));
+      this->Post(std::move(this->queue.front().second), {});
       this->queue.pop_front();
     }
   }
 
-  /** Drops a call of the same subject that waits. */
-  void Replace(const std::string& subject) {
-    if (subject.empty()) {
-      return;
-    }
+  /** Lets a call take the place of one of its subject that waits, or the last
+   * place. */
+  void Enqueue(HttpCall call, Callback callback) {
     // The call at the head may have left.
     const auto first = this->queue.begin() + (this->busy ? 1 : 0);
-    const auto waiting = std::find_if(
-        first, this->queue.end(),
-        [&](const auto& entry) { return entry.first.subject == subject; });
-    if (waiting != this->queue.end()) {
-      this->Drop(std::move(waiting->second));
-      this->queue.erase(waiting);
+    const auto waiting =
+        std::find_if(first, this->queue.end(), [&](const auto& entry) {
+          return !call.subject.empty() && entry.first.subject == call.subject;
+        });
+    if (waiting == this->queue.end()) {
+      this->queue.emplace_back(std::move(call), std::move(callback));
+      return;
     }
+    this->Post(std::move(waiting->second), {});
+    *waiting = {std::move(call), std::move(callback)};
   }
 
   void Disconnect() {
@@ -298,8 +303,7 @@
 }
 
 void HttpChannel::Call(HttpCall call, Callback callback) {
-  this->state->Replace(call.subject);
-  this->state->queue.emplace_back(std::move(call), std::move(callback));
+  this->state->Enqueue(std::move(call), std::move(callback));
   this->state->Next();
 }
 
