Do not stop a run at another server when a copy ends late

What callers could see: a stream that is stopped and read again although its server is sound. If the stream had broken and gone on elsewhere, the other server was told to stop its run. RelayTest.CopyThatEndsAfterItsStreamBrokeStopsNoOtherRun failed: one stop at the other server, and the copy was not freed. The answer counts only for the attempt and target it was asked for; otherwise the copy is freed. A failure ends the move of its attempt.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -334,6 +334,9 @@
   if (!sent && failure == AttemptFailure::kBroken) {
     failure = AttemptFailure::kNotSent;
   }
+  if (this->move.step == MoveStep::kCopying) {
+    this->move = Move{};  // What was being moved has ended.
+  }
   this->core.pool.NoteFailure(*server, failure, now);
   if (failure == AttemptFailure::kBroken && !this->counted_run) {
     this->core.pool.NoteBroken(*server, this->fingerprint, now);
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -102,10 +102,13 @@
   call.body = std::move(encoded.body);
   call.timeout = kMoveTimeout;
   const auto take_answer = [weak = this->weak_from_this(), &core = this->core,
-                            target = this->move.target,
-                            stop](const httpio::HttpResult& result) {
+                            target = this->move.target, stop,
+                            sends =
+                                this->sends](const httpio::HttpResult& result) {
     const auto self = weak.lock();
-    if (self && !self->done) {
+    // The run may have failed meanwhile and gone on at another server.
+    if (self && !self->done && self->sends == sends &&
+        self->move.target == target) {
       self->OnMoveAnswer(stop, result);
       return;
     }
