--- a/packages/httpio/tests/channel_test.cc
+++ b/packages/httpio/tests/channel_test.cc
@@ -164,6 +164,27 @@
   EXPECT_EQ(this->results["/second"], "answered");
 }
 
+// Guards against orders that are delivered late because the event loop is: the
+// kernel gives up what it could not deliver in time.
+TEST(ChannelKernelTest, UndeliveredBytesAreGivenUpByTheKernel) {
+  constexpr size_t kBodyBytes = 5000000;
+  asio::io_context loop;
+  StalledServer stalled(loop);
+  HttpChannel channel(loop, stalled.Address(),
+                      {.delivery_bound = milliseconds(300)});
+  HttpCall call;
+  call.method = "POST";
+  call.target = "/order";
+  call.body = std::string(kBodyBytes, 'o');
+  call.timeout = milliseconds(20000);
+  bool ended = false;
+  channel.Call(call, [&](const HttpResult& result) { ended = !result.head; });
+  for (int i = 0; i < 60 && !ended; ++i) {
+    loop.run_for(milliseconds(100));
+  }
+  EXPECT_TRUE(ended);
+}
+
 // Guards against orders that outlive their process: the kernel goes on sending
 // what a killed process has left in its connection, after a successor acts.
 TEST(ChannelProcessTest, BytesOfAKilledProcessAreDiscarded) {
