Fix usage counts in one register that no clock can reopen

What was seen. The platform could get two reports of one usage window with different counts, which breaks ONE. Each window was an object of its own in the store, and the holder removed it eight windows later by its own estimate of the time of day. While that estimate was ahead, windows that were still open were removed; once it was back they were fixed again with other counts. One object, boragewharf-usage/fixed, holds the counts of the last eight windows and closed_through. It is changed only at the revision that was read; the lowest windows leave it in the same write that raises closed_through. DecideUsage decides without clock or network; the platform repeats read, decide and write up to four times on a conflict, and otherwise leaves it to the reducer. A closed window ends with the line usage_closed. After an estimate that was far ahead for more than eight windows, the windows up to closed_through that were not reported stay unreported. Objects boragewharf-usage/WINDOW of earlier versions are neither read nor removed, so nodes of both versions in one deployment may fix a window twice.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -110,6 +110,7 @@
 struct UsageFixed {
   int64_t window = 0;
   std::optional<NamedCounts> counts;  ///< As fixed; empty: failed.
+  bool closed = false;  ///< It failed and always will; see UsageRegister.
 };
 
 /** A SendUsage effect ended. */
@@ -207,11 +208,6 @@
   NamedCounts counts;
 };
 
-/** Remove the fixed counts of an old window; no event. */
-struct DropUsage {
-  int64_t window = 0;
-};
-
 /** Report a window to the platform; ends with UsageSent. */
 struct SendUsage {
   int64_t window = 0;
@@ -263,7 +259,6 @@
                             FollowStore,
                             LeaseCall,
                             FixUsage,
-                            DropUsage,
                             SendUsage,
                             OrderServers,
                             EndDutyCalls,
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -38,12 +38,10 @@
   /** Executes a lease call; yields one LeaseEvent. */
   virtual void CallLease(const lease::LeaseEffect& call, EventSink sink) = 0;
 
-  /** Fixes a window's counts; yields UsageFixed. */
+  /** Fixes a window's counts as DecideUsage() tells; yields UsageFixed with the
+   * counts that are fixed, whoever fixed them. */
   virtual void Fix(const FixUsage& usage, EventSink sink) = 0;
 
-  /** Removes old fixed counts. Failures are left to the next removal. */
-  virtual void Drop(const DropUsage& usage) = 0;
-
   /** Saves progress. Failures are left to the next save. */
   virtual void Save(const SaveProgress& progress) = 0;
 
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -20,8 +20,8 @@
 /** Nodes that stand by for the duties; each reads the lease. */
 constexpr size_t kCandidates = 3;
 
-/** A node that lost the duties leaves them to others for this time; what made it
- * lose them may last. The lease itself keeps holders from alternating. */
+/** A node that lost the duties leaves them to others for this time; what made
+ * it lose them may last. The lease itself keeps holders from alternating. */
 constexpr std::chrono::seconds kAbstain(6);
 
 /** Reports of other nodes arrive within this after a window's end. */
@@ -30,8 +30,9 @@
 /** Windows before the current one that are still reported. */
 constexpr int64_t kOpenWindows = 3;
 
-/** Windows kept in the store after their report. */
-constexpr int64_t kStoredWindows = 8;
+/** Windows before the current one whose counts and progress are remembered.
+ * What is forgotten by a wrong time of day is still in the store. */
+constexpr int64_t kRememberedWindows = 8;
 
 int64_t WallMs(const FleetState& state, TimePoint now) {
   return state.wall_offset_ms.value_or(0) +
@@ -145,17 +146,14 @@
   }
   const int64_t wall = WallMs(state, now);
   const int64_t current = wall / length;
-  state.usage.Forget(current - kStoredWindows);
+  state.usage.Forget(current - kRememberedWindows);
   for (int64_t window = current - kOpenWindows; window < current; ++window) {
     if (wall >= (window + 1) * length + kUsageSettle.count()) {
       AdvanceWindow(state, window, permit, now, effects);
     }
   }
-  while (!state.windows.empty() &&
-         state.windows.begin()->first < current - kStoredWindows) {
-    effects.emplace_back(DropUsage{state.windows.begin()->first});
-    state.windows.erase(state.windows.begin());
-  }
+  state.windows.erase(state.windows.begin(),
+                      state.windows.lower_bound(current - kRememberedWindows));
 }
 
 /** Saves what the nodes would forget if all of them were killed. */
@@ -218,6 +216,14 @@
     return;
   }
   WindowProgress& progress = found->second;
+  if (fixed.closed) {
+    effects.emplace_back(LogChange{
+        "usage_closed",
+        "window " + std::to_string(fixed.window) + " cannot be reported",
+        static_cast<uint64_t>(fixed.window)});
+    progress.step = WindowProgress::Step::kDone;
+    return;
+  }
   effects.emplace_back(
       LogChange{"usage_fixed",
                 "window " + std::to_string(fixed.window) +
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -4,6 +4,9 @@
  */
 #include <gtest/gtest.h>
 
+#include <deque>
+
+#include "fleet/usage_register_func.h"
 #include "fleet_fixture.h"
 #include "lease/lease_func.h"
 
@@ -334,5 +337,151 @@
   EXPECT_FALSE(placed().requested);
 }
 
+/** Holders of the duties that fix and send usage, one after the other. */
+class UsageReportTest : public DutyTest {
+ protected:
+  static constexpr int64_t kWindowMs = 5000;
+
+  int64_t TrueWall() const {
+    return kWall + (this->now - TimePoint{}) / milliseconds(1);
+  }
+
+  /** A new process takes over the duties; its counts differ from those of the
+   * processes before. */
+  void ChangeHolder() {
+    ++this->holders;
+    FleetSettings settings = MakeSettings("10.0.0.1");
+    settings.incarnation = MakeIncarnation(this->TrueWall(), 3);
+    this->state = FleetState(settings);
+    this->Gain();
+  }
+
+  /** Requests that the holder counts in each window. */
+  uint32_t CountOfHolder() const { return 100 + this->holders; }
+
+  /** The holder runs while the clocks of most nodes are ahead. */
+  void RunAhead(Duration time, milliseconds ahead) {
+    const TimePoint end = this->now + time;
+    while (this->now < end) {
+      this->now += kTickPeriod;
+      for (const char* ip : {"10.0.0.7", "10.0.0.8", "10.0.0.9"}) {
+        serving::PeerMessage message = this->Message(ip, ++this->sequence);
+        message.status.wall_ms += ahead.count();
+        this->Apply(PeerHeard{message});
+        this->Execute();
+      }
+      serving::TrafficReport report;
+      const int64_t current = this->TrueWall() / kWindowMs;
+      for (int64_t window = current - 3; window <= current; ++window) {
+        report.usage[window][serving::HashName("school")] =
+            this->CountOfHolder();
+      }
+      this->Apply(TrafficReported{report});
+      this->Execute();
+      this->Apply(Tick{this->TrueWall()});
+      this->Execute();
+    }
+  }
+
+  /** Executes the effects of the lease and of usage. */
+  void Execute() {
+    std::deque<Effect> open(this->effects.begin(), this->effects.end());
+    while (!open.empty()) {
+      const Effect effect = std::move(open.front());
+      open.pop_front();
+      this->effects.clear();
+      if (const auto* call = std::get_if<LeaseCall>(&effect)) {
+        if (std::holds_alternative<lease::ReadLease>(call->call)) {
+          this->Apply(LeaseEvent{
+              lease::LeaseReadFailed{kDutyLease, ResultCode::kStoreNotFound}});
+        } else if (std::holds_alternative<lease::WriteLease>(call->call)) {
+          ++this->version;
+          this->Apply(LeaseEvent{lease::LeaseWritten{
+              kDutyLease, {std::to_string(this->version)}}});
+        }
+      } else if (const auto* fix = std::get_if<FixUsage>(&effect)) {
+        this->Apply(this->Fix(*fix));
+      } else if (const auto* send = std::get_if<SendUsage>(&effect)) {
+        const auto first =
+            this->sent.try_emplace(send->window, send->counts).first;
+        EXPECT_EQ(first->second, send->counts)
+            << "window " << send->window << " of holder " << this->holders;
+        this->Apply(UsageSent{send->window, true});
+      }
+      open.insert(open.end(), this->effects.begin(), this->effects.end());
+    }
+  }
+
+  /** Reads, decides and writes at once, as the platform does. */
+  UsageFixed Fix(const FixUsage& fix) {
+    const UsageDecision decision = DecideUsage(this->stored, fix);
+    switch (decision.step) {
+      case UsageDecision::Step::kClosed:
+        return {fix.window, std::nullopt, true};
+      case UsageDecision::Step::kWrite:
+        this->stored = decision.next;
+        break;
+      case UsageDecision::Step::kRepeat:
+        break;
+    }
+    return {fix.window, decision.counts};
+  }
+
+  UsageRegister stored;
+  uint32_t holders = 0;
+  uint64_t sequence = 0;
+  std::map<int64_t, NamedCounts> sent;  ///< First report of each window.
+};
+
+// Pattern: the clocks of most nodes step ahead by 50 s and back, while the
+// duties change hands. Guards against a window that is fixed and reported
+// again with other counts, because the time of day removed what was fixed
+// (hypothesis H4 of the incident ONE on kbtc-wharf).
+TEST_F(UsageReportTest, WindowKeepsItsCountsWhenTheTimeOfDayGoesAheadAndBack) {
+  this->Gain();
+  this->RunAhead(seconds(30), milliseconds(0));
+  EXPECT_GE(this->sent.size(), 4U);
+  this->RunAhead(seconds(12), seconds(50));
+  EXPECT_GT(this->sent.rbegin()->first, this->TrueWall() / kWindowMs + 4)
+      << "the holder does not follow the clocks ahead";
+  this->ChangeHolder();
+  this->RunAhead(seconds(12), milliseconds(0));
+  this->RunAhead(seconds(30), seconds(50));
+  this->RunAhead(seconds(12), milliseconds(0));
+  this->ChangeHolder();
+  this->RunAhead(seconds(120), milliseconds(0));
+  // Windows after the ones that were fixed ahead of time are reported again.
+  const int64_t last = this->TrueWall() / kWindowMs - 2;
+  ASSERT_EQ(this->sent.count(last), 1U);
+  EXPECT_EQ(this->sent.at(last).at("school"), this->CountOfHolder());
+}
+
+// Guards against a closed window that is tried for ever, at the price of two
+// calls of the store each time, and against a report without fixed counts.
+TEST_F(UsageReportTest, ClosedWindowIsNeitherSentNorTriedAgain) {
+  this->stored.closed_through = this->TrueWall() / kWindowMs + 100;
+  this->Gain();
+  std::map<int64_t, uint32_t> tried;
+  const TimePoint end = this->now + seconds(30);
+  while (this->now < end) {
+    const auto fix = this->RunUntil<FixUsage>(seconds(1));
+    EXPECT_EQ(this->Find<SendUsage>(), nullptr);
+    if (!fix) {
+      continue;
+    }
+    ++tried[fix->window];
+    const UsageFixed fixed = this->Fix(*fix);
+    ASSERT_TRUE(fixed.closed);
+    this->Apply(fixed);
+    const auto* line = this->Find<LogChange>();
+    ASSERT_NE(line, nullptr);
+    EXPECT_EQ(line->event, "usage_closed");
+  }
+  EXPECT_GE(tried.size(), 4U);
+  for (const auto& [window, times] : tried) {
+    EXPECT_EQ(times, 1U) << "window " << window;
+  }
+}
+
 }  // namespace
 }  // namespace boragewharf::fleet
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -199,7 +199,6 @@
           [&](const fleet::FixUsage& usage) {
             this->platform.Fix(usage, sink);
           },
-          [&](const fleet::DropUsage& usage) { this->platform.Drop(usage); },
           [&](const fleet::SendUsage& usage) {
             this->platform.Send(usage, sink);
           },
