Let a leaving node take only what ends before it, and answer the rest

What callers saw. All nodes stopped shortly after each other: requests taken long after SIGTERM and cut off without an answer. Exchange::Start did not ask how much of the grace was left, and Node::TickTraffic stopped the loops with whatever was in progress. The idle check also ignored answers that were not yet written to their clients. A leaving node takes a request if its deadline (route or client) or its expected length lies before the node's end, and refuses it else: 503 "leaving" with Retry-After, not run, not counted in the quota. The expected length is learned for each route from served requests (mean and deviations as in RFC 6298); before the first, it is the goal of plain routes and unknown for streams. 100 ms before the process ends, requests without a part of an answer get 504, or 503 if they were not sent; streams go on until it ends. An idle node waits for its unwritten answers and refuses what comes while it stops. The wait for unwritten answers has no test of its own.

--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -4,6 +4,7 @@
  */
 #include "node/node_base.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -22,12 +23,26 @@
  * by then that it is not among the addresses any more. */
 constexpr std::chrono::milliseconds kCloseIdleAfter(1500);
 
-/** Part of the grace time for which new requests are still taken. */
+/** Part of the grace time for which a node stays though it is idle: clients
+ * keep its address for a while. */
 constexpr double kServeShare = 0.6;
 
-/** Left of the grace time when the process ends whatever is in progress. */
+/** Most that is left of the grace time when the process ends. */
 constexpr std::chrono::milliseconds kExitMargin(300);
 
+/** In a short grace time, this part of it is left. */
+constexpr int kExitMarginPart = 12;
+
+/** Requests without an answer are answered this long before the process ends;
+ * covers the lateness of ticks. */
+constexpr std::chrono::milliseconds kAnswerTime =
+    2 * relay::TrafficCore::kTickPeriod;
+
+Duration ExitMargin(Duration grace) {
+  return std::clamp<Duration>(grace / kExitMarginPart, kAnswerTime,
+                              kExitMargin);
+}
+
 /** Time between looks at the settings file, which may change unannounced. */
 constexpr std::chrono::seconds kSettingsPeriod(2);
 
@@ -193,7 +208,9 @@
   asio::post(this->traffic_loop, [this] {
     if (!this->leaving_since) {
       this->leaving_since = BootClock::now();
-      this->traffic->SetLeaving();
+      const Duration grace = this->settings.bounds.grace;
+      this->traffic->SetLeaving(*this->leaving_since + grace -
+                                ExitMargin(grace) - kAnswerTime);
     }
   });
 }
@@ -219,8 +236,11 @@
     }
     const bool idle =
         this->traffic->InProgress() == 0 &&
+        (!this->clients || this->clients->BusyConnections() == 0) &&
         passed > std::chrono::duration_cast<Duration>(grace * kServeShare);
-    if (idle || passed > grace - kExitMargin) {
+    if (idle || passed > grace - ExitMargin(grace)) {
+      // Refuses what arrives until the loops have stopped.
+      this->traffic->SetLeaving(now);
       asio::post(this->control_loop, [this] { this->control_loop.stop(); });
       return;
     }
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -20,6 +20,7 @@
 #include "serving/config_type.h"
 #include "serving/crash_suspects_base.h"
 #include "serving/peer_type.h"
+#include "serving/planned_stop_base.h"
 #include "serving/quota_base.h"
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
@@ -77,8 +78,13 @@
     this->quotas.Restore(levels, age);
   }
 
-  /** From now on connections close after their answer. */
-  void SetLeaving() { this->leaving = true; }
+  /**
+   * From now on connections close after their answer, and requests that cannot
+   * be finished before @p end are refused. A request that has no part of its
+   * answer then is answered as timed out, one that has goes on. A later call
+   * can only bring the end forward.
+   */
+  void SetLeaving(TimePoint end);
 
   /** What the other nodes need to know. */
   serving::TrafficReport Report(TimePoint now);
@@ -117,6 +123,9 @@
   /** Starts the early requests that can be served, or have waited enough. */
   void StartEarly();
 
+  /** Time that a request on @p route takes; empty if unknown. */
+  std::optional<Duration> ExpectedLength(const serving::Route& route) const;
+
   /** Counts a request that began to run. */
   void CountRun(const std::string& customer, TimePoint now);
 
@@ -131,6 +140,8 @@
   size_t buffered_bytes = 0;
   bool servers_known = false;
   bool leaving = false;
+  std::optional<TimePoint> ends_at;  ///< Set while leaving.
+  std::map<std::string, serving::LengthEstimate> lengths;  ///< By route.
   uint32_t nodes = 1;
   std::optional<int64_t> wall_offset_ms;
   serving::QuotaTable quotas;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -239,7 +239,8 @@
 }
 
 void Exchange::CheckTimeout(TimePoint now) {
-  if (now < std::min(this->route_deadline, this->client_deadline)) {
+  const TimePoint deadline = this->Deadline();
+  if (now < (this->answer_started ? deadline : this->End())) {
     return;
   }
   if (this->answer_started) {
@@ -247,7 +248,8 @@
     return;
   }
   const bool may_run = this->attempt->sent || this->may_have_run;
-  this->Refuse(may_run ? 504 : 503, std::nullopt, "timeout");
+  this->Refuse(may_run ? 504 : 503, std::nullopt,
+               now < deadline ? "leaving" : "timeout");
 }
 
 Duration Exchange::SilenceBound() const {
@@ -263,7 +265,7 @@
   if (!this->route->Repeatable() || this->sends >= this->route->max_attempts) {
     return false;
   }
-  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  const TimePoint end = this->End();
   return now + kLeastTimeLeft < end;
 }
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -29,6 +29,10 @@
 /** Retry-After before the first configuration is known. */
 constexpr Milliseconds kRetryNotReady(500);
 
+/** Retry-After of a leaving node; the client turns to another, or to one that
+ * is starting again. */
+constexpr Milliseconds kRetryLeaving(500);
+
 /** Idle time up to which a connection carries a request that must not be
  * repeated; older ones may have been dropped without notice. */
 constexpr Milliseconds kFreshIdle(1500);
@@ -95,7 +99,8 @@
     return;
   }
   this->config = this->core.config;
-  if (this->CancelIfClientLeft() || !this->CheckRequest() || !this->Admit()) {
+  if (this->CancelIfClientLeft() || !this->CheckRequest() ||
+      !this->CheckPlannedStop() || !this->Admit()) {
     return;
   }
   if (!this->TryServer(false)) {
@@ -142,6 +147,36 @@
   return true;
 }
 
+bool Exchange::CheckPlannedStop() {
+  if (!this->core.ends_at) {
+    return true;
+  }
+  const TimePoint now = BootClock::now();
+  const serving::StopFacts facts{*this->core.ends_at - now,
+                                 this->Deadline() - now,
+                                 this->core.ExpectedLength(*this->route)};
+  if (serving::EndsBeforeStop(facts)) {
+    return true;
+  }
+  this->core.log.Write(
+      EventLevel::kInfo, "outlasts_stop",
+      {{"id", this->request.facts.attempt_id},
+       {"left_ms", Millis(facts.left)},
+       {"limit_ms", Millis(facts.limit)},
+       {"expected_ms", facts.expected ? Millis(*facts.expected) : -1}});
+  this->Refuse(503, kRetryLeaving, "leaving");
+  return false;
+}
+
+TimePoint Exchange::Deadline() const {
+  return std::min(this->route_deadline, this->client_deadline);
+}
+
+TimePoint Exchange::End() const {
+  const TimePoint deadline = this->Deadline();
+  return std::min(deadline, this->core.ends_at.value_or(deadline));
+}
+
 bool Exchange::Admit() {
   this->fingerprint = serving::RequestFingerprint(
       this->customer == nullptr ? "" : this->customer->name,
@@ -221,7 +256,7 @@
   const TimePoint now = BootClock::now();
   serving::AttemptFields fields;
   fields.server_id = server->server.id;
-  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  const TimePoint end = this->End();
   fields.deadline = std::max(
       Milliseconds(1), std::chrono::duration_cast<Milliseconds>(end - now));
   uint32_t priority = this->route->priority;
@@ -360,7 +395,7 @@
   facts.max_attempts = this->route->max_attempts;
   facts.server_ended = !server->listed || server->server.draining;
   facts.may_have_run = this->may_have_run;
-  const TimePoint end = std::min(this->route_deadline, this->client_deadline);
+  const TimePoint end = this->End();
   facts.time_left = now + kLeastTimeLeft < end;
   this->may_have_run = this->may_have_run || serving::MayHaveRun(failure);
   this->tried.push_back(server->server.id);
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -103,6 +103,12 @@
    * each send: a close may wait unread in the socket. */
   bool CancelIfClientLeft();
   bool CheckRequest();
+  /** Refuses a request that the end of a leaving node would cut off. */
+  bool CheckPlannedStop();
+  /** End of the time that the route and the client allow. */
+  TimePoint Deadline() const;
+  /** The deadline, or the end of a leaving node if that is sooner. */
+  TimePoint End() const;
   bool Admit();
   void LogQuota(double cost);
   bool TryServer(bool counts_as_repeat);
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -92,6 +92,9 @@
   const auto self = this->shared_from_this();
   const TimePoint now = BootClock::now();
   const bool served = outcome == "served";
+  if (served) {
+    this->core.lengths[this->route->name].Add(now - this->arrived);
+  }
   std::string server_id;
   if (this->attempt) {
     server_id = this->attempt->server->server.id;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -63,6 +63,11 @@
     std::shared_ptr<const serving::ServingConfig> next) {
   this->config = std::move(next);
   this->quotas.Configure(*this->config, BootClock::now());
+  std::erase_if(this->lengths, [&](const auto& known) {
+    return std::ranges::none_of(this->config->routes, [&](const auto& route) {
+      return route.name == known.first;
+    });
+  });
   this->StartEarly();
 }
 
@@ -150,6 +155,23 @@
              .count();
 }
 
+void TrafficCore::SetLeaving(TimePoint end) {
+  this->leaving = true;
+  this->ends_at = std::min(this->ends_at.value_or(end), end);
+}
+
+std::optional<Duration> TrafficCore::ExpectedLength(
+    const serving::Route& route) const {
+  const auto found = this->lengths.find(route.name);
+  if (found != this->lengths.end()) {
+    return found->second.Bound();
+  }
+  if (route.kind == serving::RouteKind::kStream) {
+    return std::nullopt;  // Its goal covers the first event only.
+  }
+  return route.goal;
+}
+
 void TrafficCore::CountRun(const std::string& customer, TimePoint now) {
   const auto window_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                              this->bounds.usage_window)
--- /dev/null
+++ b/packages/serving/src/planned_stop_base.cc
@@ -0,0 +1,49 @@
+/**
+ * @file planned_stop_base.cc
+ * Lengths of requests against the time until a planned stop.
+ */
+#include "serving/planned_stop_base.h"
+
+#include <cmath>
+
+namespace boragewharf::serving {
+namespace {
+
+/** Weights of the newest length, and deviations in the bound: those of the
+ * retransmission timer of RFC 6298. */
+constexpr double kMeanWeight = 1.0 / 8;
+constexpr double kDeviationWeight = 1.0 / 4;
+constexpr double kDeviations = 4;
+
+}  // namespace
+
+bool EndsBeforeStop(const StopFacts& facts) {
+  if (facts.left <= Duration::zero()) {
+    return false;
+  }
+  if (facts.limit <= facts.left) {
+    return true;
+  }
+  return facts.expected && *facts.expected <= facts.left;
+}
+
+void LengthEstimate::Add(Duration length) {
+  const auto value = static_cast<double>(length.count());
+  if (!this->mean) {
+    this->mean = value;
+    this->deviation = value / 2;
+    return;
+  }
+  this->deviation +=
+      kDeviationWeight * (std::abs(value - *this->mean) - this->deviation);
+  *this->mean += kMeanWeight * (value - *this->mean);
+}
+
+std::optional<Duration> LengthEstimate::Bound() const {
+  if (!this->mean) {
+    return std::nullopt;
+  }
+  return Duration(std::llround(*this->mean + kDeviations * this->deviation));
+}
+
+}  // namespace boragewharf::serving
