Inject faults only once every stream is in its middle

Cause: the fixture waited for 20 tokens a stream in sum over all servers. On a busy machine the HTTP library of one stand-in had not begun to serve when the others had sent them all. Class: a precondition checked in sum that has to hold for each part.

Ruled out: a lost token or a wrong count in the product; in every failing run the answers were whole and each resumption counted what it had received.

Change: each caller has to have 20 tokens before the fault, which is stricter than before, and a stream takes 0.8 s in place of 0.2 s, so that the first one still runs when the last one starts. No expectation is changed.

--- a/packages/traffic/tests/front_end_fixture.h
+++ b/packages/traffic/tests/front_end_fixture.h
@@ -278,11 +278,12 @@
     return client.send(request);
   }
 
-  /** Reads a stream to its end. */
+  /** Reads a stream to its end. @param progress Tokens so far, if wanted. */
   static StreamedAnswer ReadStream(uint16_t port,
                                    const std::string& method,
                                    const std::string& path,
-                                   const std::string& body) {
+                                   const std::string& body,
+                                   std::atomic<uint32_t>* progress = nullptr) {
     StreamedAnswer answer;
     SseParser parser(1U << 20);
     httplib::Client client("127.0.0.1", port);
@@ -305,6 +306,9 @@
       }
       return parser.Feed({data, length}, [&](const SseEvent& event) {
         Collect(event, answer);
+        if (progress != nullptr) {
+          *progress = answer.tokens;
+        }
         return true;
       });
     };
@@ -338,9 +342,10 @@
     answer.tokens += text.empty() ? 0 : 1;
   }
 
-  StreamedAnswer Stream(const nlohmann::json& body) const {
-    return ReadStream(this->entry->port, "POST", "/v1/completions",
-                      body.dump());
+  StreamedAnswer Stream(const nlohmann::json& body,
+                        std::atomic<uint32_t>* progress = nullptr) const {
+    return ReadStream(this->entry->port, "POST", "/v1/completions", body.dump(),
+                      progress);
   }
 
   /** Name of the refusal in a body. */
--- a/packages/traffic/tests/recovery_test.cc
+++ b/packages/traffic/tests/recovery_test.cc
@@ -2,6 +2,9 @@
  * @file recovery_test.cc
  * Streams whose backend server or entry instance ends, against stand-ins.
  */
+#include <algorithm>
+#include <atomic>
+#include <span>
 #include <thread>
 
 #include "front_end_fixture.h"
@@ -13,21 +16,39 @@
 using std::chrono::milliseconds;
 
 constexpr uint32_t kTokens = 200;
+constexpr uint32_t kTokensBeforeFault = 20;
+
+/** Streams take 0.8 s, longer than their threads take to start on a busy
+ * machine. */
+constexpr milliseconds kTokenTime(4);
 
 class RecoveryTest : public FrontEndTest {
  protected:
-  /** Starts @p count streams and runs @p fault in their middle. */
+  void SetUp() override {
+    FrontEndTest::SetUp();
+    for (const auto& engine : this->engines) {
+      engine->Change([](standins::EngineControl& control) {
+        control.token_time = kTokenTime;
+      });
+    }
+  }
+
+  /**
+   * Starts @p count streams and runs @p fault in their middle: once each caller
+   * has kTokensBeforeFault tokens. Their sum alone says nothing of the streams
+   * of one engine, which may not have begun on a busy machine.
+   */
   template <class Fault>
   std::vector<StreamedAnswer> RunWithFault(size_t count, Fault fault) {
-    const int64_t before = this->entry->Counter("tokens_received_total");
     std::vector<StreamedAnswer> answers(count);
+    std::vector<std::atomic<uint32_t>> received(count);
     std::vector<std::thread> callers;
     for (size_t i = 0; i < count; ++i) {
       callers.emplace_back([&, i] {
-        answers[i] = this->Stream(Completion(Prompt(i), kTokens));
+        answers[i] = this->Stream(Completion(Prompt(i), kTokens), &received[i]);
       });
     }
-    this->AwaitTokens(before + static_cast<int64_t>(count * 20));
+    AwaitEach(received);
     fault();
     for (std::thread& caller : callers) {
       caller.join();
@@ -47,6 +68,18 @@
     FAIL() << "streams do not proceed";
   }
 
+  /** Waits until each caller has kTokensBeforeFault tokens. */
+  static void AwaitEach(std::span<const std::atomic<uint32_t>> received) {
+    const auto has_begun = [](const std::atomic<uint32_t>& tokens) {
+      return tokens >= kTokensBeforeFault;
+    };
+    const TimePoint end = BootClock::now() + std::chrono::seconds(20);
+    while (!std::ranges::all_of(received, has_begun)) {
+      ASSERT_LT(BootClock::now(), end) << "streams do not proceed";
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+
   static void ExpectAllComplete(const std::vector<StreamedAnswer>& answers) {
     for (size_t i = 0; i < answers.size(); ++i) {
       EXPECT_TRUE(answers[i].done) << answers[i].error;
