Tell the starts of processes apart without their clocks

Cause, from the lines: after the kill of all nodes the shared levels that the store gave were -3,539,645 and -9,513,360 tokens, 33 and 29 s of the customers' rates. A process that starts leaves out what others admitted before, as the saved levels contain it. Whether another one had started before was told by incarnations, that is by two readings of the time of day. A holder that was killed while clocks were back by 45 s took all others for younger, deducted what they had ever admitted, and saved the result; every node took it over at its next start. The same comparison made the others ignore a process that had restarted with its clock back, for up to 15 s. Class: a decision that rests on a difference of wall-clock readings.

Ruled out: the age of the saved levels (lines: 0 to 397 ms), usage windows.

Change: datagrams tell how long their process has run (boot clock, format 3; nodes of format 2 are ignored as before). A process at an address gives way to any other, except one that has ended there; incarnations have no order.

--- a/packages/fleet/include/fleet/incarnation_func.h
+++ b/packages/fleet/include/fleet/incarnation_func.h
@@ -9,8 +9,9 @@
 namespace boragewharf::fleet {
 
 /**
- * Number of a process start: rises with the time, and differs between nodes
- * that start in the same millisecond.
+ * Number of a process start; differs between nodes that start in the same
+ * millisecond. That it rises with the time helps readers of logs only: the
+ * clock may have stepped between two starts.
  * @param draw Random bits.
  * @note Thread-safe.
  */
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -59,6 +60,7 @@
   TimePoint heard;
   std::map<serving::NameHash, RemoteUse> use;  ///< By customer.
   std::optional<TimePoint> fetch_failed;  ///< Last failure to get its state.
+  std::deque<uint64_t> former;  ///< Incarnations of earlier processes there.
 };
 
 /** All other nodes. Not thread-safe. */
@@ -66,10 +68,13 @@
  public:
   /**
    * @param self Address of this node; its own messages are ignored.
-   * @param started Incarnation of this process.
+   * @param start When this process started.
    */
-  PeerTable(std::string self, uint64_t started)
-      : self_ip(std::move(self)), self_incarnation(started) {}
+  explicit PeerTable(std::string self, TimePoint start = {})
+      : self_ip(std::move(self)), started(start) {}
+
+  /** Sets when this process started. */
+  void SetStarted(TimePoint start) { this->started = start; }
 
   /** Addresses at which other nodes may be, besides those heard of. */
   void AddSeeds(const std::vector<std::string>& ips);
@@ -124,11 +129,11 @@
                     PeerEntry* known,
                     TimePoint now);
   void AssumeAdmitted(PeerEntry& entry, TimePoint now);
-  bool StartedBefore(const serving::NodeStatus& status) const;
+  bool StartedBefore(const serving::NodeStatus& status, TimePoint now) const;
   void NotePrefixes(const serving::TrafficReport& report);
 
   std::string self_ip;
-  uint64_t self_incarnation;
+  TimePoint started;
   std::map<std::string, PeerEntry, std::less<>> peers;
   std::set<std::string, std::less<>> seeds;  ///< Told of.
   TimePoint last_new;                        ///< When a node was first heard.
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -327,7 +327,7 @@
 
 FleetState::FleetState(FleetSettings fixed)
     : settings(std::move(fixed)),
-      peers(settings.ip, settings.incarnation),
+      peers(settings.ip),
       scaling_policy(MakeZoneLossPolicy()) {
   this->peers.AddSeeds(this->settings.seed_ips);
   this->lease.self = MemberId{this->settings.incarnation};
@@ -346,6 +346,7 @@
             std::vector<Effect>& effects) {
   if (state.started == TimePoint{}) {
     state.started = now;
+    state.peers.SetStarted(now);
   }
   std::visit(Overloaded{
                  [&](const ConfigRead& read) {
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -6,8 +6,6 @@
 
 #include <algorithm>
 
-#include "fleet/incarnation_func.h"
-
 namespace boragewharf::fleet {
 namespace {
 
@@ -31,6 +29,10 @@
  * is slow. */
 constexpr size_t kMaxPrefixNews = 8192;
 
+/** Earlier processes remembered at an address; their last datagrams may arrive
+ * after the first of the next process. */
+constexpr size_t kMaxFormer = 8;
+
 /** A silent node is forgotten after this; a cut lasts seconds. */
 constexpr std::chrono::seconds kForgetAfter(15);
 
@@ -114,21 +116,28 @@
   const bool same_process =
       known != this->peers.end() &&
       known->second.status.incarnation == status.incarnation;
-  if (known != this->peers.end()) {
-    const serving::NodeStatus& old = known->second.status;
-    if (status.incarnation < old.incarnation ||
-        (same_process && status.sequence <= old.sequence)) {
-      return News::kNone;
-    }
+  if (same_process && status.sequence <= known->second.status.sequence) {
+    return News::kNone;
+  }
+  const bool ended =
+      known != this->peers.end() &&
+      std::ranges::count(known->second.former, status.incarnation) > 0;
+  if (ended) {
+    return News::kNone;
   }
   this->NoteAdmitted(message, same_process ? &known->second : nullptr, now);
   this->NotePrefixes(message.report);
   if (!same_process) {
     this->last_new = now;
   }
+  const bool has_restarted = known != this->peers.end() && !same_process;
   PeerEntry& entry = this->peers[status.ip];
-  if (!same_process) {
+  if (has_restarted) {
     entry.use.clear();
+    entry.former.push_back(entry.status.incarnation);
+    if (entry.former.size() > kMaxFormer) {
+      entry.former.pop_front();
+    }
   }
   entry.status = status;
   entry.report = message.report;
@@ -143,7 +152,7 @@
   for (const auto& [customer, total] : message.report.admitted) {
     if (known == nullptr) {
       // What it admitted before this process started is in the saved levels.
-      if (!this->StartedBefore(message.status)) {
+      if (!this->StartedBefore(message.status, now)) {
         this->admitted[customer] += static_cast<double>(total);
       }
       continue;
@@ -170,10 +179,10 @@
   }
 }
 
-bool PeerTable::StartedBefore(const serving::NodeStatus& status) const {
-  const uint64_t together =
-      status.incarnation + MakeIncarnation(kStartSpread.count(), 0);
-  return together < this->self_incarnation;
+bool PeerTable::StartedBefore(const serving::NodeStatus& status,
+                              TimePoint now) const {
+  return std::chrono::milliseconds(status.uptime_ms) >
+         now - this->started + kStartSpread;
 }
 
 void PeerTable::NotePrefixes(const serving::TrafficReport& report) {
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -72,6 +72,7 @@
   message.status.zone = state.settings.zone;
   message.status.region = state.settings.region;
   message.status.incarnation = state.settings.incarnation;
+  message.status.uptime_ms = BootMs(now) - BootMs(state.started);
   message.status.sequence = ++state.sequence;
   message.status.ready = IsReady(state);
   message.status.leaving = state.leaving;
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -328,6 +328,28 @@
   EXPECT_EQ(summary.admitted.at(1), 130U);
 }
 
+// Guards against a node that is taken for its ended process, and not heard for
+// seconds, because its clock stepped back before it restarted.
+TEST_F(FleetTest, NodeThatRestartsWithItsClockBackIsHeard) {
+  this->Configure();
+  auto before = this->Message("10.0.0.2", 500);
+  this->Apply(PeerHeard{before});
+  auto after = this->Message("10.0.0.2", 1);
+  after.status.incarnation = MakeIncarnation(kWall - 45000, 2);
+  after.status.ready = false;
+  this->Apply(PeerHeard{after});
+  const auto& entry = this->state.peers.All().at("10.0.0.2");
+  EXPECT_EQ(entry.status.incarnation, after.status.incarnation);
+  before.status.sequence = 501;
+  this->Apply(PeerHeard{before});
+  EXPECT_EQ(entry.status.incarnation, after.status.incarnation)
+      << "a late datagram of the ended process";
+  after.status.sequence = 2;
+  after.status.ready = true;
+  this->Apply(PeerHeard{after});
+  EXPECT_TRUE(entry.status.ready);
+}
+
 // A jump of the own clock must not move runs into other usage windows.
 TEST_F(FleetTest, TimeOfDayIgnoresAJumpOfTheOwnClock) {
   this->Configure();
--- a/packages/fleet/tests/quota_spread_test.cc
+++ b/packages/fleet/tests/quota_spread_test.cc
@@ -8,7 +8,6 @@
 #include <memory>
 #include <random>
 
-#include "fleet/incarnation_func.h"
 #include "fleet/peer_table_base.h"
 #include "serving/quota_base.h"
 
@@ -40,8 +39,7 @@
 
 /** A node's part in the quota. */
 struct SpreadNode {
-  explicit SpreadNode(const std::string& own_ip)
-      : peers(own_ip, 1), ip(own_ip) {}
+  explicit SpreadNode(const std::string& own_ip) : peers(own_ip), ip(own_ip) {}
 
   PeerTable peers;
   std::string ip;
@@ -169,17 +167,17 @@
 // not deduct all that they have ever admitted; the saved levels contain it
 // (found as refusals below the quota on kbtc-wharf trouble-2).
 TEST(QuotaSpreadTest, RestartedNodeDoesNotPayForEarlierUse) {
-  constexpr int64_t kStart = 1784182260000;
   constexpr uint64_t kBefore = 5000000;
   const serving::NameHash hash = serving::HashName(kCustomer);
-  PeerTable peers("10.0.0.1", MakeIncarnation(kStart, 0));
+  TimePoint now{seconds(100)};
+  PeerTable peers("10.0.0.1", now);
   serving::PeerMessage message;
   message.format = serving::kPeerFormat;
   message.status.ip = "10.0.0.2";
-  message.status.incarnation = MakeIncarnation(kStart - 60000, 1);
+  message.status.incarnation = 9;
+  message.status.uptime_ms = 60000;
   message.status.sequence = 1;
   message.report.admitted[hash] = kBefore;
-  TimePoint now{seconds(100)};
   peers.Hear(message, now);
   EXPECT_EQ(peers.TakeSummary(milliseconds(200), now).admitted[hash], 0);
   message.status.sequence = 2;
@@ -192,17 +190,18 @@
 // Pattern: all nodes restart. What those that started a moment earlier have
 // admitted since is in no saved level.
 TEST(QuotaSpreadTest, NodesThatRestartTogetherCountEachOther) {
-  constexpr int64_t kStart = 1784182260000;
   const serving::NameHash hash = serving::HashName(kCustomer);
-  PeerTable peers("10.0.0.1", MakeIncarnation(kStart, 0));
+  const TimePoint start{seconds(100)};
+  const TimePoint now = start + milliseconds(21000);
+  PeerTable peers("10.0.0.1", start);
   for (const int64_t offset : {-1000, 1000, 20000}) {
     serving::PeerMessage message;
     message.format = serving::kPeerFormat;
     message.status.ip = "10.0.0." + std::to_string(10 + offset / 1000);
-    message.status.incarnation = MakeIncarnation(kStart + offset, 1);
+    message.status.incarnation = 1;
+    message.status.uptime_ms = 21000 - offset;
     message.status.sequence = 1;
     message.report.admitted[hash] = 900;
-    const TimePoint now{seconds(100)};
     peers.Hear(message, now);
     EXPECT_EQ(peers.TakeSummary(milliseconds(200), now).admitted[hash], 900)
         << offset;
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -87,7 +87,8 @@
   std::string ip;
   std::string zone;
   std::string region;
-  uint64_t incarnation = 0;       ///< Start of the process; rises.
+  uint64_t incarnation = 0;       ///< Names the process; has no order.
+  int64_t uptime_ms = 0;          ///< Time since the process started.
   uint64_t sequence = 0;          ///< Rises with each message.
   bool ready = false;             ///< Serves requests.
   bool leaving = false;           ///< Received the signal to stop.
@@ -100,9 +101,9 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->name, this->ip, this->zone, this->region, this->incarnation,
-            this->sequence, this->ready, this->leaving, this->follows_store,
-            this->holds_duties, this->config_revision, this->servers_revision,
-            this->wall_ms);
+            this->uptime_ms, this->sequence, this->ready, this->leaving,
+            this->follows_store, this->holds_duties, this->config_revision,
+            this->servers_revision, this->wall_ms);
   }
 };
 
@@ -124,7 +125,7 @@
 };
 
 /** Messages of another format are dropped. */
-inline constexpr uint32_t kPeerFormat = 2;
+inline constexpr uint32_t kPeerFormat = 3;
 
 /** IPv4 number of a dotted address, or 0. @note Thread-safe. */
 uint32_t PackIp(const std::string& ip);
