Hand the time of day on from process to process

Cause: a process that starts takes its own clock, and the nodes follow the median. With most processes started while their clocks were off, the median was off, the nodes that knew better gave way after a second, and all kept the error after the clocks had come back.

Change: datagrams tell for how long an estimate has been handed on and whether more than half of the nodes, three at least, once agreed on it. A process takes over a confirmed estimate of longer standing at once; fresh clocks outvote it no more. If all nodes are killed, a clock that is before the last save has stepped back, and the save goes before it. New line time_of_day_moved.

In duty_test the nodes that are ahead tell a confirmed estimate, or the holder would not follow them; what it checks is unchanged.

Not covered: all nodes killed while most clocks are ahead.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -329,6 +329,8 @@
   TimePoint started;  ///< First event.
   TimePoint next_message;
   std::optional<int64_t> wall_offset_ms;
+  TimePoint wall_since;         ///< Since when processes have handed it on.
+  bool wall_confirmed = false;  ///< Most nodes agreed on it once.
   std::optional<TimePoint> off_since;  ///< The own clock disagrees since.
   std::map<serving::NameHash, std::string> customer_names;
   std::map<int64_t, WindowProgress> windows;
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -63,6 +63,20 @@
   std::deque<uint64_t> former;  ///< Incarnations of earlier processes there.
 };
 
+/** An estimate of the time of day. */
+struct WallEstimate {
+  int64_t wall_ms = 0;
+  Duration age{};          ///< For how long processes have handed it on.
+  bool confirmed = false;  ///< Most nodes agreed on it once.
+};
+
+/** Estimates that agree this closely are taken as equal, in milliseconds. */
+inline constexpr int64_t kClockTolerance = 300;
+
+/** Estimates whose ages differ by less come from one start of the deployment;
+ * its processes start within a second. */
+inline constexpr std::chrono::seconds kSameAge(2);
+
 /** All other nodes. Not thread-safe. */
 class PeerTable {
  public:
@@ -117,8 +131,14 @@
   /** Nodes that have been heard within a few periods and are ready. */
   std::vector<const PeerEntry*> Ready(Duration period, TimePoint now) const;
 
-  /** Median of the estimates of the time of day, @p own included. */
-  int64_t MedianWallMs(int64_t own, Duration period, TimePoint now) const;
+  /**
+   * The time of day that counts: the median of the estimates, @p own included.
+   * If any is confirmed, only those that are, and have been handed on for as
+   * long as any; a process that has just started knows only its own clock.
+   */
+  WallEstimate AgreedWall(const WallEstimate& own,
+                          Duration period,
+                          TimePoint now) const;
 
   const std::map<std::string, PeerEntry, std::less<>>& All() const {
     return this->peers;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -24,9 +24,6 @@
  * seconds if they live. */
 constexpr milliseconds kReturnTime(1900);
 
-/** Clocks that agree this closely are taken as equal. */
-constexpr int64_t kClockTolerance = 300;
-
 /** The own estimate follows the others after disagreeing for this long. */
 constexpr std::chrono::seconds kClockPatience(1);
 
@@ -275,18 +272,47 @@
                                  "", state.servers_revision});
 }
 
+void SetWall(FleetState& state,
+             const WallEstimate& estimate,
+             std::string_view from,
+             TimePoint now,
+             std::vector<Effect>& effects) {
+  const int64_t offset = estimate.wall_ms - BootMs(now);
+  const int64_t moved = offset - *state.wall_offset_ms;
+  if (std::abs(moved) > kClockTolerance) {
+    effects.emplace_back(LogChange{
+        "time_of_day_moved",
+        "by " + std::to_string(moved) + " ms to that of " + std::string(from),
+        state.config_revision});
+  }
+  state.wall_offset_ms = offset;
+  state.wall_since = now - estimate.age;
+  state.wall_confirmed = estimate.confirmed;
+  state.off_since.reset();
+}
+
 /**
- * Follows the time of day. The estimate is kept while the clock jumps, and
- * gives way only if most other nodes disagree with it.
+ * Follows the time of day. The estimate is kept while the clock jumps. It gives
+ * way at once to one that most nodes agreed on earlier, else only if most other
+ * nodes disagree with it for a while.
  */
-void FollowClock(FleetState& state, int64_t clock_ms, TimePoint now) {
+void FollowClock(FleetState& state,
+                 int64_t clock_ms,
+                 TimePoint now,
+                 std::vector<Effect>& effects) {
   if (!state.wall_offset_ms) {
     state.wall_offset_ms = clock_ms - BootMs(now);
+    state.wall_since = now;
   }
-  const int64_t own = *state.wall_offset_ms + BootMs(now);
-  const int64_t agreed =
-      state.peers.MedianWallMs(own, MessagePeriod(state), now);
-  if (std::abs(agreed - own) <= kClockTolerance) {
+  const WallEstimate own{*state.wall_offset_ms + BootMs(now),
+                         now - state.wall_since, state.wall_confirmed};
+  const WallEstimate agreed =
+      state.peers.AgreedWall(own, MessagePeriod(state), now);
+  if (agreed.confirmed && (!own.confirmed || agreed.age > own.age + kSameAge)) {
+    SetWall(state, agreed, "most nodes", now, effects);
+    return;
+  }
+  if (std::abs(agreed.wall_ms - own.wall_ms) <= kClockTolerance) {
     state.off_since.reset();
     return;
   }
@@ -294,8 +320,26 @@
     state.off_since = now;
   }
   if (now - *state.off_since >= kClockPatience) {
-    state.wall_offset_ms = *state.wall_offset_ms + agreed - own;
-    state.off_since.reset();
+    SetWall(state, agreed, "most nodes", now, effects);
+  }
+}
+
+/**
+ * A clock that is behind what a process saved earlier has stepped back. Goes
+ * before what processes that started together agree on.
+ */
+void TakeSavedWall(FleetState& state,
+                   const ProgressRead& read,
+                   TimePoint now,
+                   std::vector<Effect>& effects) {
+  if (!state.wall_offset_ms || state.wall_since < state.started) {
+    return;  // Taken over from an earlier process.
+  }
+  const int64_t own = *state.wall_offset_ms + BootMs(now);
+  if (own + kClockTolerance < read.saved_wall_ms) {
+    const WallEstimate saved{read.saved_wall_ms + kSavePeriod.count() / 2,
+                             now - state.started + 2 * kSameAge, true};
+    SetWall(state, saved, "the last save", now, effects);
   }
 }
 
@@ -303,6 +347,7 @@
                   const ProgressRead& read,
                   TimePoint now,
                   std::vector<Effect>& effects) {
+  TakeSavedWall(state, read, now, effects);
   for (const ProcessUsage& process : read.usage) {
     state.usage.Merge(process.ip, process.incarnation, process.counts);
   }
@@ -414,7 +459,7 @@
                    SendMessage(state, now, effects);
                  },
                  [&](const Tick& tick) {
-                   FollowClock(state, tick.clock_wall_ms, now);
+                   FollowClock(state, tick.clock_wall_ms, now, effects);
                    ExpireMissing(state, now, effects);
                    DecideFollowing(state, now, effects);
                    CatchUp(state, now, effects);
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -5,6 +5,7 @@
 #include "fleet/peer_table_base.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace boragewharf::fleet {
 namespace {
@@ -29,6 +30,10 @@
  * is slow. */
 constexpr size_t kMaxPrefixNews = 8192;
 
+/** Least number of nodes that confirm a time of day: two clocks that differ say
+ * nothing of which one is right. */
+constexpr size_t kLeastVoices = 3;
+
 /** Earlier processes remembered at an address; their last datagrams may arrive
  * after the first of the next process. */
 constexpr size_t kMaxFormer = 8;
@@ -300,22 +305,47 @@
   return ready;
 }
 
-int64_t PeerTable::MedianWallMs(int64_t own,
-                                Duration period,
-                                TimePoint now) const {
-  std::vector<int64_t> estimates = {own};
+WallEstimate PeerTable::AgreedWall(const WallEstimate& own,
+                                   Duration period,
+                                   TimePoint now) const {
+  std::vector<WallEstimate> estimates = {own};
   for (const auto& [ip, entry] : this->peers) {
     if (IsSilent(entry.heard, period, now)) {
       continue;
     }
     const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - entry.heard);
-    estimates.push_back(entry.status.wall_ms + since.count());
+    const serving::NodeStatus& status = entry.status;
+    estimates.push_back({status.wall_ms + since.count(),
+                         std::chrono::milliseconds(status.wall_age_ms) + since,
+                         status.wall_confirmed});
+  }
+  const size_t heard = estimates.size();
+  std::optional<Duration> oldest;
+  for (const WallEstimate& estimate : estimates) {
+    if (estimate.confirmed) {
+      oldest = std::max(oldest.value_or(estimate.age), estimate.age);
+    }
+  }
+  if (oldest) {
+    std::erase_if(estimates, [&](const WallEstimate& estimate) {
+      return !estimate.confirmed || estimate.age + kSameAge < *oldest;
+    });
   }
   const auto middle =
       estimates.begin() + static_cast<std::ptrdiff_t>(estimates.size() / 2);
-  std::nth_element(estimates.begin(), middle, estimates.end());
-  return *middle;
+  std::ranges::nth_element(estimates, middle, {}, &WallEstimate::wall_ms);
+  WallEstimate agreed = *middle;
+  if (!agreed.confirmed) {
+    const auto alike =
+        std::ranges::count_if(estimates, [&](const WallEstimate& estimate) {
+          return std::abs(estimate.wall_ms - agreed.wall_ms) <= kClockTolerance;
+        });
+    const size_t nodes = std::max(heard, this->seeds.size() + 1);
+    const auto voices = static_cast<size_t>(alike);
+    agreed.confirmed = voices >= kLeastVoices && voices * 2 > nodes;
+  }
+  return agreed;
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -81,6 +81,8 @@
   message.status.config_revision = state.config_revision;
   message.status.servers_revision = state.servers_revision;
   message.status.wall_ms = state.wall_offset_ms.value_or(0) + BootMs(now);
+  message.status.wall_age_ms = BootMs(now) - BootMs(state.wall_since);
+  message.status.wall_confirmed = state.wall_confirmed;
   message.report.admitted = state.report.admitted;
   message.report.crashes = state.report.crashes;
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
--- a/packages/fleet/tests/clock_step_test.cc
+++ b/packages/fleet/tests/clock_step_test.cc
@@ -57,7 +57,7 @@
 struct ClockNode {
   std::optional<FleetState> state;  ///< Empty while the process is down.
   std::unique_ptr<serving::QuotaTable> quotas;
-  TimePoint up_at;
+  TimePoint up_at;  ///< When its process starts, or started.
   TimePoint read_at;
   TimePoint next_tick;
   TimePoint next_report;
@@ -69,6 +69,8 @@
 struct ClockResult {
   double refused = 0;    ///< Share of the requests that reached a node.
   double in_window = 0;  ///< Most tokens admitted in any 8 s.
+  /** Largest error of a node's time of day, later than 1 s after its start. */
+  milliseconds wall_error{};
 };
 
 /** All nodes, their store and one customer. */
@@ -117,6 +119,7 @@
     ClockResult result;
     result.refused = this->refused / std::max(1.0, this->asked);
     result.in_window = this->most_in_window;
+    result.wall_error = this->wall_error;
     return result;
   }
 
@@ -202,6 +205,10 @@
       node.next_tick += kTickPeriod;
       this->Apply(i, Tick{this->Clock(i)});
     }
+    if (this->now >= node.up_at + seconds(1)) {
+      const milliseconds error(*node.state->wall_offset_ms - kWall);
+      this->wall_error = std::max(this->wall_error, std::chrono::abs(error));
+    }
   }
 
   /** Runs the reducer of a node and executes its effects. */
@@ -318,6 +325,7 @@
   double refused = 0;
   double in_window = 0;
   double most_in_window = 0;
+  milliseconds wall_error{};
 };
 
 /** Allowed in 8 s: an excess of 10% and 140,000 tokens. */
@@ -385,5 +393,37 @@
   }
 }
 
+// Pattern: the clocks of one, half or all nodes are off for 14 s, in which most
+// processes are killed twice. Guards against nodes that take the time of day
+// from the clocks of processes that have just started, and report usage windows
+// wrongly from then on.
+TEST(ClockStepTest, TimeOfDayOutlastsStepsBesideKills) {
+  for (const int64_t by : {-60, -45, -10, -2, 2, 10, 45, 60}) {
+    for (const double share : {0.1, 0.5, 1.0}) {
+      const ClockDay day = {
+          "by " + std::to_string(by) + " s, share " + std::to_string(share),
+          {{seconds(6), seconds(20), share, seconds(by)}},
+          {{seconds(8), Kill::Who::kFirst},
+           {seconds(13), Kill::Who::kLast},
+           {seconds(21), Kill::Who::kFirst},
+           {seconds(30), Kill::Who::kFirst, 1, seconds(1)}}};
+      ClockModel model(7);
+      EXPECT_LE(model.Play(day, seconds(40)).wall_error, seconds(1))
+          << day.name;
+    }
+  }
+}
+
+// Pattern: all nodes are killed while all clocks are back. Guards against a
+// time of day before that of the last save.
+TEST(ClockStepTest, TimeOfDayStartsAtTheLastSaveIfAllClocksAreBack) {
+  const ClockDay day = {
+      "all back",
+      {{seconds(6), seconds(20), 1.0, seconds(-45)}},
+      {{seconds(10), Kill::Who::kFirst, 1.0, milliseconds(700)}}};
+  ClockModel model(7);
+  EXPECT_LE(model.Play(day, seconds(30)).wall_error, seconds(2));
+}
+
 }  // namespace
 }  // namespace boragewharf::fleet
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -367,6 +367,8 @@
       for (const char* ip : {"10.0.0.7", "10.0.0.8", "10.0.0.9"}) {
         serving::PeerMessage message = this->Message(ip, ++this->sequence);
         message.status.wall_ms += ahead.count();
+        message.status.wall_age_ms = this->TrueWall() - kWall;
+        message.status.wall_confirmed = true;
         this->Apply(PeerHeard{message});
         this->Execute();
       }
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -97,13 +97,16 @@
   uint64_t config_revision = 0;   ///< Store revision of its configuration.
   uint64_t servers_revision = 0;  ///< Store revision of its server list.
   int64_t wall_ms = 0;            ///< Its estimate of the time of day.
+  int64_t wall_age_ms = 0;        ///< For how long processes have handed it on.
+  bool wall_confirmed = false;    ///< Most nodes agreed on it once.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->name, this->ip, this->zone, this->region, this->incarnation,
             this->uptime_ms, this->sequence, this->ready, this->leaving,
             this->follows_store, this->holds_duties, this->config_revision,
-            this->servers_revision, this->wall_ms);
+            this->servers_revision, this->wall_ms, this->wall_age_ms,
+            this->wall_confirmed);
   }
 };
 
