Keep the level of a line apart from the level of a quota

Lines of quota_exceeded had no level: their field "level" (units left of the quota) replaced it, so that a filter for warnings missed them. It is shared_level now, and a field of a line's own name is written as NAME_of_event. The new test of eventlog failed before: "level" was 7.

--- a/packages/eventlog/src/event_log_base.cc
+++ b/packages/eventlog/src/event_log_base.cc
@@ -123,9 +123,11 @@
   line["node"] = node;
   line["event"] = event;
   for (const EventField& field : fields) {
-    std::visit(
-        [&](const auto& value) { line[std::string(field.name)] = value; },
-        field.value);
+    std::string name(field.name);
+    if (line.contains(name)) {
+      name += "_of_event";  // The line's own fields stay what they are.
+    }
+    std::visit([&](const auto& value) { line[name] = value; }, field.value);
   }
   return line.dump(-1, ' ', false,
                    nlohmann::ordered_json::error_handler_t::replace);
--- a/packages/eventlog/tests/event_log_test.cc
+++ b/packages/eventlog/tests/event_log_test.cc
@@ -28,6 +28,16 @@
   EXPECT_EQ(json["level"], "warning");
 }
 
+// Guards against a field that hides the line's own level, as the level of a
+// quota did in lines of quota_exceeded.
+TEST(RenderEventTest, FieldDoesNotReplaceWhatTheLineSaysOfItself) {
+  const auto line = nlohmann::json::parse(RenderEvent(
+      "n1", 5, EventLevel::kWarning, "quota", {{"level", 7}, {"node", "x"}}));
+  EXPECT_EQ(line["level"], "warning");
+  EXPECT_EQ(line["node"], "n1");
+  EXPECT_EQ(line["level_of_event"], 7);
+}
+
 TEST(RenderEventTest, InvalidBytesDoNotThrow) {
   EXPECT_NO_THROW(RenderEvent("n", 0, EventLevel::kInfo, "e",
                               {{"id", std::string("\xff\xfe")}}));
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -17,7 +17,7 @@
       {{"id", this->request.facts.attempt_id},
        {"customer", this->customer->name},
        {"cost", static_cast<int64_t>(cost)},
-       {"level", static_cast<int64_t>(view.level)},
+       {"shared_level", static_cast<int64_t>(view.level)},
        {"own_level", static_cast<int64_t>(view.own_level)},
        {"rate", static_cast<int64_t>(view.rate)},
        {"nodes", view.nodes},
