Give up a time of day that no clock agrees with

An estimate that processes hand on never reads a clock again. If all clocks were off when a deployment first started, as before their first synchronization, the error stayed for the life of the deployment, and every usage window was off by it.

Change: a node whose own clock has disagreed with the estimate for 60 s tells no estimate any more, and reads its clock again once no other node holds to a confirmed one. Steps last seconds, so they do not reach this; a single clock that is off for good is outvoted as before.

TimeOfDayFollowsClocksThatStay failed before with an error of 20 s.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -331,7 +331,9 @@
   std::optional<int64_t> wall_offset_ms;
   TimePoint wall_since;         ///< Since when processes have handed it on.
   bool wall_confirmed = false;  ///< Most nodes agreed on it once.
-  std::optional<TimePoint> off_since;  ///< The own clock disagrees since.
+  std::optional<TimePoint> off_since;  ///< Most other nodes disagree since.
+  std::optional<TimePoint> clock_off_since;  ///< The own clock disagrees since.
+  bool doubts_wall = false;                  ///< It has for too long.
   std::map<serving::NameHash, std::string> customer_names;
   std::map<int64_t, WindowProgress> windows;
   std::map<std::string, ScalingState> scaling;
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -140,6 +140,9 @@
                           Duration period,
                           TimePoint now) const;
 
+  /** Whether any node that is heard holds to a confirmed time of day. */
+  bool AnyConfirmsWall(Duration period, TimePoint now) const;
+
   const std::map<std::string, PeerEntry, std::less<>>& All() const {
     return this->peers;
   }
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -291,6 +291,36 @@
   state.off_since.reset();
 }
 
+/** A clock that steps comes back within seconds; one that stays is right. */
+constexpr std::chrono::seconds kClockTrust(60);
+
+/**
+ * Doubts the estimate once the own clock has disagreed with it for long, and
+ * reads the clock again if no other node holds to it either.
+ * @return Whether the estimate is in doubt.
+ */
+bool CheckOwnClock(FleetState& state,
+                   int64_t clock_ms,
+                   TimePoint now,
+                   std::vector<Effect>& effects) {
+  const int64_t own = *state.wall_offset_ms + BootMs(now);
+  if (std::abs(clock_ms - own) <= kClockTolerance) {
+    state.clock_off_since.reset();
+  } else if (!state.clock_off_since) {
+    state.clock_off_since = now;
+  }
+  state.doubts_wall =
+      state.clock_off_since && now - *state.clock_off_since >= kClockTrust;
+  if (state.doubts_wall &&
+      !state.peers.AnyConfirmsWall(MessagePeriod(state), now)) {
+    SetWall(state, {clock_ms, Duration(0), false}, "the own clock", now,
+            effects);
+    state.clock_off_since.reset();
+    state.doubts_wall = false;
+  }
+  return state.doubts_wall;
+}
+
 /**
  * Follows the time of day. The estimate is kept while the clock jumps. It gives
  * way at once to one that most nodes agreed on earlier, else only if most other
@@ -304,6 +334,9 @@
     state.wall_offset_ms = clock_ms - BootMs(now);
     state.wall_since = now;
   }
+  if (CheckOwnClock(state, clock_ms, now, effects)) {
+    return;
+  }
   const WallEstimate own{*state.wall_offset_ms + BootMs(now),
                          now - state.wall_since, state.wall_confirmed};
   const WallEstimate agreed =
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -32,7 +32,7 @@
 
 /** Least number of nodes that confirm a time of day: two clocks that differ say
  * nothing of which one is right. */
-constexpr size_t kLeastVoices = 3;
+constexpr size_t kMinAgreeing = 3;
 
 /** Earlier processes remembered at an address; their last datagrams may arrive
  * after the first of the next process. */
@@ -310,7 +310,7 @@
                                    TimePoint now) const {
   std::vector<WallEstimate> estimates = {own};
   for (const auto& [ip, entry] : this->peers) {
-    if (IsSilent(entry.heard, period, now)) {
+    if (IsSilent(entry.heard, period, now) || entry.status.wall_ms == 0) {
       continue;
     }
     const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -337,15 +337,22 @@
   std::ranges::nth_element(estimates, middle, {}, &WallEstimate::wall_ms);
   WallEstimate agreed = *middle;
   if (!agreed.confirmed) {
-    const auto alike =
-        std::ranges::count_if(estimates, [&](const WallEstimate& estimate) {
-          return std::abs(estimate.wall_ms - agreed.wall_ms) <= kClockTolerance;
-        });
+    const auto agrees = [&](const WallEstimate& estimate) {
+      return std::abs(estimate.wall_ms - agreed.wall_ms) <= kClockTolerance;
+    };
+    const auto agreeing =
+        static_cast<size_t>(std::ranges::count_if(estimates, agrees));
     const size_t nodes = std::max(heard, this->seeds.size() + 1);
-    const auto voices = static_cast<size_t>(alike);
-    agreed.confirmed = voices >= kLeastVoices && voices * 2 > nodes;
+    agreed.confirmed = agreeing >= kMinAgreeing && agreeing * 2 > nodes;
   }
   return agreed;
 }
 
+bool PeerTable::AnyConfirmsWall(Duration period, TimePoint now) const {
+  return std::ranges::any_of(this->peers, [&](const auto& peer) {
+    const PeerEntry& entry = peer.second;
+    return entry.status.wall_confirmed && !IsSilent(entry.heard, period, now);
+  });
+}
+
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -86,9 +86,12 @@
   message.status.holds_duties = HoldsDuties(state, now);
   message.status.config_revision = state.config_revision;
   message.status.servers_revision = state.servers_revision;
-  message.status.wall_ms = state.wall_offset_ms.value_or(0) + BootMs(now);
+  // 0 tells the others that there is no estimate to count.
+  if (state.wall_offset_ms && !state.doubts_wall) {
+    message.status.wall_ms = *state.wall_offset_ms + BootMs(now);
+  }
   message.status.wall_age_ms = BootMs(now) - BootMs(state.wall_since);
-  message.status.wall_confirmed = state.wall_confirmed;
+  message.status.wall_confirmed = state.wall_confirmed && !state.doubts_wall;
   message.report.admitted = state.report.admitted;
   message.report.crashes = state.report.crashes;
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
--- a/packages/fleet/tests/clock_step_test.cc
+++ b/packages/fleet/tests/clock_step_test.cc
@@ -76,7 +76,12 @@
 /** All nodes, their store and one customer. */
 class ClockModel {
  public:
-  explicit ClockModel(uint64_t seed) : generator(seed) {
+  /** @param off Error of all clocks at the start of the deployment. */
+  explicit ClockModel(uint64_t seed, seconds off = seconds(0))
+      : generator(seed) {
+    for (ClockNode& node : this->nodes) {
+      node.clock_step = off;
+    }
     serving::ServingConfig made;
     this->customer.name = kCustomer;
     this->customer.quota_in_tokens = true;
@@ -87,9 +92,20 @@
     this->config = std::make_shared<serving::ServingConfig>(made);
     for (size_t i = 0; i < kNodes; ++i) {
       this->StartNode(i, true);
+      this->Apply(i, Tick{this->Clock(i)});
     }
   }
 
+  /** Largest error of a node's time of day. */
+  milliseconds WallErrorNow() const {
+    milliseconds most{};
+    for (const ClockNode& node : this->nodes) {
+      const milliseconds error(*node.state->wall_offset_ms - kWall);
+      most = std::max(most, std::chrono::abs(error));
+    }
+    return most;
+  }
+
   ClockResult Play(const ClockDay& day, seconds length) {
     const TimePoint start = this->now;
     std::vector<bool> killed(day.kills.size(), false);
@@ -414,6 +430,19 @@
   }
 }
 
+// Pattern: all clocks were off when the deployment started, and are corrected
+// for good. Guards against a time of day that processes hand on for ever though
+// no clock agrees with it; one clock that is off for good changes nothing.
+TEST(ClockStepTest, TimeOfDayFollowsClocksThatStay) {
+  ClockModel wrong_start(7, seconds(-20));
+  wrong_start.Play({"corrected", {}, {}}, seconds(70));
+  EXPECT_LE(wrong_start.WallErrorNow(), milliseconds(500));
+  ClockModel one_off(7);
+  const ClockDay day = {
+      "one off", {{seconds(6), seconds(200), 0.1, seconds(30)}}, {}};
+  EXPECT_LE(one_off.Play(day, seconds(150)).wall_error, milliseconds(500));
+}
+
 // Pattern: all nodes are killed while all clocks are back. Guards against a
 // time of day before that of the last save.
 TEST(ClockStepTest, TimeOfDayStartsAtTheLastSaveIfAllClocksAreBack) {
