--- a/packages/daemon/src/effect_executor_base.cc
+++ b/packages/daemon/src/effect_executor_base.cc
@@ -5,11 +5,11 @@
 #include "daemon/effect_executor_base.h"
 
 #include "backend/backend_func.h"
+#include "base/body_func.h"
 #include "base/result_func.h"
 #include "daemon/log_func.h"
 #include "daemon/probe_func.h"
 #include "membership/membership_func.h"
-#include "peer/body_func.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/daemon/src/ledger_client_base.cc
+++ b/packages/daemon/src/ledger_client_base.cc
@@ -8,9 +8,9 @@
 #include <future>
 #include <thread>
 
+#include "base/body_func.h"
 #include "base/result_func.h"
 #include "ledger/shard_func.h"
-#include "peer/body_func.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/daemon/src/peer_service_base.cc
+++ b/packages/daemon/src/peer_service_base.cc
@@ -4,10 +4,10 @@
  */
 #include "daemon/peer_service_base.h"
 
+#include "base/body_func.h"
 #include "base/result_func.h"
 #include "config/config_func.h"
 #include "membership/membership_func.h"
-#include "peer/body_func.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/daemon/src/traffic_provider_base.cc
+++ b/packages/daemon/src/traffic_provider_base.cc
@@ -6,8 +6,8 @@
 
 #include <algorithm>
 
+#include "base/body_func.h"
 #include "base/result_func.h"
-#include "peer/body_func.h"
 
 namespace boragewharf::daemon {
 
--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -77,6 +77,10 @@
 
 namespace {
 
+/** Longest exclusion that is accepted, in milliseconds; a lease lasts seconds.
+ */
+constexpr uint64_t kMaxExclusionMs = 24 * 60 * 60 * 1000;
+
 /** Decodes the former holders; records of earlier software versions have none.
  * @return Empty optional if the list is malformed. */
 std::optional<std::vector<FormerHolder>> DecodeFormer(const Json& json) {
@@ -90,7 +94,8 @@
   for (const Json& holder : json["former"]) {
     if (!holder.is_object() || !holder.contains("instance") ||
         !holder["instance"].is_string() || !holder.contains("staysOutMs") ||
-        !holder["staysOutMs"].is_number_unsigned()) {
+        !holder["staysOutMs"].is_number_unsigned() ||
+        holder["staysOutMs"].get<uint64_t>() > kMaxExclusionMs) {
       return std::nullopt;
     }
     former.push_back(
--- a/packages/peer/tests/envelope_test.cc
+++ b/packages/peer/tests/envelope_test.cc
@@ -9,8 +9,8 @@
 #include <set>
 #include <vector>
 
+#include "base/body_func.h"
 #include "base/result_func.h"
-#include "peer/body_func.h"
 #include "peer/envelope_func.h"
 #include "peer/replay_window_base.h"
 
