Follow what servers say of themselves in their answers

A server that is leaving gets nothing new until its lifetime (id and start) ends; the mark is told to the other nodes in a tail of the peer message, which earlier builds ignore, and a server that is marked for long but still listed as ready is asked again. If all servers of a service want a pause, requests are refused at once with the time until the first one returns.

--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -281,6 +281,13 @@
     for (const auto& [fingerprint, count] : entry.report.crashes) {
       summary.crashes[fingerprint] += count;
     }
+    for (serving::LeavingServer leaving : entry.report.leaving) {
+      leaving.age_ms += static_cast<uint32_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - entry.last_message_at)
+              .count());
+      summary.leaving.push_back(leaving);
+    }
     if (IsSilent(entry.last_message_at, period, now)) {
       silent += entry.status.leaving ? 0 : 1;
       continue;  // Its requests have probably ended, so its load is left out.
--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -5,6 +5,7 @@
 #include "scaling_cmd.h"
 
 #include <algorithm>
+#include <set>
 
 #include "fleet/fleet_cmd.h"
 
@@ -77,10 +78,15 @@
     servers.reclaimable_available =
         order == scaling.orders.end() || now >= order->second.unavailable_until;
   }
+  std::set<std::pair<serving::NameHash, uint64_t>> leaving;
+  for (const serving::LeavingServer& server : state.report.leaving) {
+    leaving.emplace(server.server, server.started);
+  }
   for (const auto& [id, server] : state.servers) {
     const auto zone = zones.find(server.zone);
     if (server.service != service.name || server.draining ||
-        zone == zones.end()) {
+        zone == zones.end() ||
+        leaving.contains({serving::HashName(id), server.started})) {
       continue;
     }
     if (server.reclaimable) {
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -102,6 +102,11 @@
   message.status.wall_confirmed = state.wall_confirmed && !state.wall_in_doubt;
   message.report.admitted = state.report.admitted;
   message.report.crashes = state.report.crashes;
+  message.report.leaving = state.report.leaving;
+  for (serving::LeavingServer& leaving : message.report.leaving) {
+    leaving.age_ms =
+        static_cast<uint32_t>(BootMs(now) - BootMs(leaving.answered));
+  }
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
   while (!state.departures.empty() &&
          (now - state.departures.front().seen > kDepartureAnnounceTime ||
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -14,6 +14,7 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "base/body_func.h"
 #include "base/scope_guard.h"
 
 namespace boragewharf::serving {
@@ -64,11 +65,10 @@
 
 template <class Value>
 std::optional<Value> Decode(std::string_view bytes) {
-  std::istringstream stream(std::string(bytes), std::ios::binary);
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    BodyReader reader(bytes);
     Value value;
-    archive(value);
+    reader(value);
     return value;
   } catch (const std::exception&) {
     // Truncated or invalid input; the callers count and drop it.
@@ -79,11 +79,28 @@
 }  // namespace
 
 std::string EncodePeerMessage(const serving::PeerMessage& message) {
-  return Encode(message);
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message, serving::PeerMessageTail{message.report.leaving});
+  }
+  return stream.str();
 }
 
 std::optional<serving::PeerMessage> DecodePeerMessage(std::string_view bytes) {
-  return Decode<serving::PeerMessage>(bytes);
+  try {
+    BodyReader reader(bytes);
+    serving::PeerMessage message;
+    reader(message);
+    if (!reader.AtEnd()) {
+      serving::PeerMessageTail tail;
+      reader(tail);
+      message.report.leaving = std::move(tail.leaving);
+    }
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;  // As in Decode().
+  }
 }
 
 std::string Compress(std::string_view text) {
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -13,7 +13,9 @@
 
 #include "httpio/http_channel_base.h"
 #include "relay/upstream_connection_base.h"
+#include "serving/leaving_servers_base.h"
 #include "serving/peer_type.h"
+#include "serving/request_type.h"
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
 #include "serving/server_type.h"
@@ -34,6 +36,8 @@
   double failure_rate = 0;            ///< Share of failed attempts, smoothed.
   uint32_t failures_in_row = 0;
   TimePoint avoid_until;
+  /** Until then the server wants no requests from this node. */
+  TimePoint no_requests_until;
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   /** By prefix hash, when any node last sent a request with it here. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
@@ -46,10 +50,13 @@
 /** All backend servers. Not thread-safe; used on the traffic loop. */
 class ServerPool {
  public:
+  /** @param leaving_check_period Time after which a server that is leaving
+   * but still listed as ready is asked again. */
   ServerPool(boost::asio::io_context& loop,
              std::string zone,
              std::string region,
-             std::map<std::string, std::string> zone_regions);
+             std::map<std::string, std::string> zone_regions,
+             Duration leaving_check_period);
 
   /** Applies a new list. Requests that run on removed servers go on. */
   void Update(const serving::ServerSet& set, TimePoint now);
@@ -81,7 +88,37 @@
   /** Servers of a service that accept new requests, except @p excluded. */
   std::vector<std::shared_ptr<PooledServer>> Candidates(
       std::string_view service,
-      const std::vector<std::string>& excluded) const;
+      const std::vector<std::string>& excluded,
+      TimePoint now) const;
+
+  /**
+   * Time until the first server of a service accepts requests again.
+   * @return Empty if one accepts requests now, or none will.
+   */
+  std::optional<Duration> TimeUntilCandidate(std::string_view service,
+                                             TimePoint now) const;
+
+  /** Whether a server is leaving, by its own answers or another node's word. */
+  bool IsLeaving(const PooledServer& server) const;
+
+  /** Whether requests that run on a server may be cut off by its end. */
+  bool IsStopping(const PooledServer& server) const {
+    return !server.listed || server.server.draining || this->IsLeaving(server);
+  }
+
+  /**
+   * Records what a server says of itself in the head of any answer.
+   * @return Whether it says for the first time that it is leaving.
+   */
+  bool RecordAnswer(PooledServer& server,
+                    const serving::ResponseFacts& facts,
+                    TimePoint now);
+
+  /** Servers that are leaving, as known to this node and to others. */
+  serving::LeavingServers& Leaving() { return this->leaving; }
+
+  /** Lifetime of a server. */
+  static serving::ServerLifetime LifetimeOf(const PooledServer& server);
 
   /** Data about a candidate for the routing policy. */
   serving::ServerView View(const PooledServer& server,
@@ -141,6 +178,7 @@
   std::map<std::string, std::shared_ptr<PooledServer>, std::less<>> servers;
   std::unordered_map<serving::NameHash, PooledServer*> by_hash;
   std::deque<serving::PrefixSend> own_prefixes;
+  serving::LeavingServers leaving;
   std::vector<uint64_t> crash_suspects;
   TimePoint peer_loads_at;
 };
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -124,6 +124,19 @@
    * left until it stops. */
   void RequestStopNotices(TimePoint now);
 
+  /** Asks a server for its state and the time until it stops. */
+  void RequestReport(const std::shared_ptr<PooledServer>& server,
+                     TimePoint now);
+
+  /** Records what a server says of itself in the head of an answer. */
+  void RecordAnswer(PooledServer& server,
+                    const serving::ResponseFacts& facts,
+                    TimePoint now);
+
+  /** Asks servers that have been leaving for long, but are still listed as
+   * ready. */
+  void CheckLeavingServers(TimePoint now);
+
   /** Restarts the requests in waiting_for_config. Those that still have to wait
    * add themselves again. */
   void StartWaitingRequests();
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -109,13 +109,25 @@
     TrafficCore::Demand& demand = this->core.demand[this->service_name];
     demand.refused += 1;
     demand.tokens_in_period += this->request.facts.prompt_tokens;
-    const bool listed =
-        !this->core.pool.Candidates(this->service_name, {}).empty();
-    this->Refuse(503, listed ? kRetryAfterFull : kRetryAfterNoServer,
-                 listed ? "servers_full" : "no_server");
+    this->RefuseWithoutServer();
   }
 }
 
+void Exchange::RefuseWithoutServer() {
+  const TimePoint now = BootClock::now();
+  if (!this->core.pool.Candidates(this->service_name, {}, now).empty()) {
+    this->Refuse(503, kRetryAfterFull, "servers_full");
+    return;
+  }
+  const auto wait = this->core.pool.TimeUntilCandidate(this->service_name, now);
+  if (wait) {
+    this->Refuse(503, std::chrono::ceil<Milliseconds>(*wait),
+                 "servers_want_no_requests");
+    return;
+  }
+  this->Refuse(503, kRetryAfterNoServer, "no_server");
+}
+
 bool Exchange::CheckRequest() {
   if (!this->core.Ready()) {
     this->Refuse(503, kRetryAfterNotReady, "not_configured");
@@ -204,8 +216,8 @@
 
 std::shared_ptr<PooledServer> Exchange::ChooseServer() {
   const TimePoint now = BootClock::now();
-  const auto candidates =
-      this->core.pool.Candidates(this->service_name, this->excluded_servers);
+  const auto candidates = this->core.pool.Candidates(
+      this->service_name, this->excluded_servers, now);
   serving::RouteRequest wanted;
   wanted.prompt_tokens = this->request.facts.prompt_tokens;
   wanted.shared_tokens = serving::SharedTokens(this->request.facts);
@@ -338,6 +350,8 @@
     return false;
   }
   this->attempt->last_progress = BootClock::now();
+  this->core.RecordAnswer(*this->attempt->server, facts,
+                          this->attempt->last_progress);
   if (facts.keep_alive) {
     this->attempt->connection->SetKeepAlive(
         std::chrono::duration_cast<Duration>(
@@ -376,7 +390,11 @@
   if (this->move.step == MoveStep::kCopying) {
     this->move = Move{};  // The stream that was being moved has ended.
   }
-  this->core.pool.RecordFailure(*server, failure, now);
+  // A server that asks for a pause works, it is only full.
+  const bool paused = this->attempt->facts && this->attempt->facts->retry_after;
+  if (!paused) {
+    this->core.pool.RecordFailure(*server, failure, now);
+  }
   if (failure == AttemptFailure::kConnectionLost && !this->usage_counted) {
     this->core.pool.RecordBrokenRequest(*server, this->fingerprint, now);
   }
@@ -391,7 +409,8 @@
        {"sends", this->sends},
        {"servers_revision", this->core.servers_revision},
        {"server_listed", server->listed},
-       {"server_draining", server->server.draining}});
+       {"server_draining", server->server.draining},
+       {"server_leaving", this->core.pool.IsLeaving(*server)}});
 
   serving::RetryFacts facts;
   facts.failure = failure;
@@ -400,7 +419,7 @@
   facts.can_resume = this->IsStream() && this->route->resumable;
   facts.attempts = this->sends;
   facts.max_attempts = this->route->max_attempts;
-  facts.server_ended = !server->listed || server->server.draining;
+  facts.server_ended = this->core.pool.IsStopping(*server);
   facts.may_have_run = this->may_have_run;
   const TimePoint end = this->EffectiveDeadline();
   facts.time_left = now + kMinResendTime < end;
@@ -438,6 +457,10 @@
       this->AbortClient(FailureName(failure));
       return;
     case RetryDecision::kAnswerNotRun:
+      if (paused) {
+        this->RefuseWithoutServer();
+        return;
+      }
       this->Refuse(503, kRetryAfterFull, FailureName(failure));
       return;
     case RetryDecision::kAnswerUnknown:
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -121,6 +121,8 @@
   bool Admit();
   void LogQuotaExceeded(double cost);
   bool TryServer(bool uses_retry_budget);
+  /** Refuses the request because no server can take it. */
+  void RefuseWithoutServer();
   void SendTo(const std::shared_ptr<PooledServer>& server,
               std::optional<serving::MoveSource> from);
   std::shared_ptr<PooledServer> ChooseServer();
@@ -177,6 +179,7 @@
   uint32_t sends = 0;  ///< Attempts that sent the request.
   bool may_have_run = false;
   bool answer_started = false;
+  bool close_announced = false;  ///< The head says that the connection closes.
   bool usage_counted = false;
   bool done = false;
   std::optional<uint64_t> last_event_id;
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -56,7 +56,7 @@
   const bool can_move = this->service != nullptr && this->service->engine &&
                         this->service->engine->moves;
   if (!can_move || !this->IsStream() || !server.stops_at ||
-      this->move.step != MoveStep::kNone) {
+      this->move.step != MoveStep::kNone || now < server.no_requests_until) {
     return;
   }
   if (!this->attempt->first_event) {
@@ -129,7 +129,7 @@
                         const MoveResponse& answer) {
   auto encoded =
       answer.copied ? core.codec.EncodeFreeCopy(answer.handle) : std::nullopt;
-  if (!encoded) {
+  if (!encoded || BootClock::now() < target.no_requests_until) {
     return;  // There is no copy, or it expires by itself.
   }
   core.counters.Get("moves_total", "result=\"unused\"").Add();
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -5,6 +5,7 @@
 #include "relay/server_pool_base.h"
 
 #include <algorithm>
+#include <set>
 
 namespace boragewharf::relay {
 namespace {
@@ -71,11 +72,13 @@
 ServerPool::ServerPool(boost::asio::io_context& event_loop,
                        std::string own_zone,
                        std::string own_region,
-                       std::map<std::string, std::string> regions)
+                       std::map<std::string, std::string> regions,
+                       Duration leaving_check_period)
     : loop(event_loop),
       zone(std::move(own_zone)),
       region(std::move(own_region)),
-      zone_regions(std::move(regions)) {}
+      zone_regions(std::move(regions)),
+      leaving(leaving_check_period) {}
 
 Distance ServerPool::DistanceTo(std::string_view other_zone) const {
   if (other_zone == this->zone) {
@@ -108,7 +111,7 @@
     }
     pooled->server = listed;
     pooled->listed = true;
-    if (!listed.draining) {
+    if (!listed.draining && !this->IsLeaving(*pooled)) {
       // Not draining, so it is not (or no longer) about to stop: its entry may
       // only have expired for a while.
       pooled->notice_requested = false;
@@ -126,9 +129,53 @@
            now - pooled.unlisted_at > kRemovedServerRetention;
   });
   this->by_hash.clear();
+  std::set<serving::ServerLifetime> present;
   for (const auto& [id, pooled] : this->servers) {
     this->by_hash[serving::HashName(id)] = pooled.get();
+    present.insert(LifetimeOf(*pooled));
   }
+  this->leaving.Retain(present);
+}
+
+serving::ServerLifetime ServerPool::LifetimeOf(const PooledServer& pooled) {
+  return {serving::HashName(pooled.server.id), pooled.server.started};
+}
+
+bool ServerPool::IsLeaving(const PooledServer& pooled) const {
+  return this->leaving.Contains(LifetimeOf(pooled));
+}
+
+bool ServerPool::RecordAnswer(PooledServer& pooled,
+                              const serving::ResponseFacts& facts,
+                              TimePoint now) {
+  constexpr uint32_t kStatusOtherServer = 421;
+  const bool from_other_server =
+      facts.status == kStatusOtherServer ||
+      (!facts.server_id.empty() && facts.server_id != pooled.server.id);
+  if (from_other_server) {
+    return false;
+  }
+  if (facts.retry_after) {
+    pooled.no_requests_until =
+        std::max(pooled.no_requests_until, now + *facts.retry_after);
+  }
+  return facts.leaving && this->leaving.Mark(LifetimeOf(pooled), now);
+}
+
+std::optional<Duration> ServerPool::TimeUntilCandidate(std::string_view service,
+                                                       TimePoint now) const {
+  std::optional<Duration> least;
+  for (const auto& [id, pooled] : this->servers) {
+    if (pooled->server.service != service || this->IsStopping(*pooled)) {
+      continue;
+    }
+    const Duration left = pooled->no_requests_until - now;
+    if (left <= Duration::zero()) {
+      return std::nullopt;
+    }
+    least = std::min(least.value_or(left), left);
+  }
+  return least;
 }
 
 void ServerPool::UpdatePeerLoads(
@@ -172,11 +219,12 @@
 
 std::vector<std::shared_ptr<PooledServer>> ServerPool::Candidates(
     std::string_view service,
-    const std::vector<std::string>& excluded) const {
+    const std::vector<std::string>& excluded,
+    TimePoint now) const {
   std::vector<std::shared_ptr<PooledServer>> found;
   for (const auto& [id, pooled] : this->servers) {
-    if (!pooled->listed || pooled->server.draining ||
-        pooled->server.service != service) {
+    if (pooled->server.service != service || this->IsStopping(*pooled) ||
+        now < pooled->no_requests_until) {
       continue;
     }
     if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -22,6 +22,10 @@
  * the actual time. */
 constexpr std::chrono::milliseconds kDefaultReclaimNotice(2000);
 
+/** A server that is leaving but still listed as ready is asked again after this
+ * multiple of the time for which draining servers run at least. */
+constexpr int kLeavingCheckFactor = 4;
+
 /** Timeout for the report of a stopping server. */
 constexpr std::chrono::milliseconds kReportTimeout(400);
 
@@ -48,7 +52,11 @@
       codec(request_codec),
       log(event_log),
       counters(registry),
-      pool(event_loop, place.zone, place.region, place.zone_regions),
+      pool(event_loop,
+           place.zone,
+           place.region,
+           place.zone_regions,
+           kLeavingCheckFactor * limits.drain),
       quotas(limits.quota_slack * kReportLagShare,
              limits.first_start ? 1.0 : kRestartQuotaFill,
              !limits.first_start),
@@ -94,8 +102,7 @@
 void TrafficCore::RequestStopNotices(TimePoint now) {
   for (const auto& entry : this->pool.All()) {
     const std::shared_ptr<PooledServer>& pooled = entry.second;
-    const bool stopping = !pooled->listed || pooled->server.draining;
-    if (!stopping || pooled->notice_requested ||
+    if (!this->pool.IsStopping(*pooled) || pooled->notice_requested ||
         pooled->own_load.running == 0) {
       continue;
     }
@@ -103,25 +110,75 @@
     pooled->stops_at =
         now + (pooled->server.reclaimable ? Duration(kDefaultReclaimNotice)
                                           : this->bounds.drain);
-    httpio::HttpCall call;
-    call.method = "GET";
-    call.target = this->codec.ReportTarget();
-    call.timeout = kReportTimeout;
-    const auto on_report = [this, pooled](const httpio::HttpResult& result) {
-      if (!result.head || result.head->status != 200) {
-        return;  // Keep the assumed stop time.
-      }
-      const auto report = this->codec.DecodeReport(result.body);
-      if (report.leaves_in) {
-        pooled->stops_at = BootClock::now() + *report.leaves_in;
+    this->RequestReport(pooled, now);
+  }
+}
+
+void TrafficCore::RequestReport(const std::shared_ptr<PooledServer>& pooled,
+                                TimePoint now) {
+  if (now < pooled->no_requests_until) {
+    return;
+  }
+  httpio::HttpCall call;
+  call.method = "GET";
+  call.target = this->codec.ReportTarget();
+  call.timeout = kReportTimeout;
+  const auto on_report = [this, pooled](const httpio::HttpResult& result) {
+    if (!result.head) {
+      return;  // Keep the assumed stop time.
+    }
+    const serving::ResponseFacts facts =
+        this->codec.DecodeResponse(*result.head);
+    this->pool.RecordAnswer(*pooled, facts, BootClock::now());
+    if (facts.status != 200) {
+      return;
+    }
+    const auto report = this->codec.DecodeReport(result.body);
+    if (report.ready && !facts.leaving) {
+      this->pool.Leaving().Clear(ServerPool::LifetimeOf(*pooled),
+                                 *result.sent_at);
+    }
+    if (report.leaves_in) {
+      pooled->stops_at = BootClock::now() + *report.leaves_in;
+    }
+    this->log.Write(
+        EventLevel::kInfo, "server_notice",
+        {{"server", pooled->server.id},
+         {"running", pooled->own_load.running},
+         {"ready", report.ready},
+         {"leaving", facts.leaving},
+         {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
+  };
+  this->pool.CallChannel(*pooled).Call(std::move(call), on_report);
+}
+
+void TrafficCore::RecordAnswer(PooledServer& pooled,
+                               const serving::ResponseFacts& facts,
+                               TimePoint now) {
+  const bool waits = facts.retry_after && now >= pooled.no_requests_until;
+  const bool leaves = this->pool.RecordAnswer(pooled, facts, now);
+  if (waits) {
+    this->log.Write(
+        EventLevel::kInfo, "server_wants_no_requests",
+        {{"server", pooled.server.id}, {"for_ms", facts.retry_after->count()}});
+  }
+  if (leaves) {
+    this->log.Write(
+        EventLevel::kInfo, "server_leaving",
+        {{"server", pooled.server.id}, {"running", pooled.own_load.running}});
+    this->RequestStopNotices(now);
+  }
+}
+
+void TrafficCore::CheckLeavingServers(TimePoint now) {
+  for (const serving::ServerLifetime& due :
+       this->pool.Leaving().TakeDueChecks(now)) {
+    for (const auto& [id, pooled] : this->pool.All()) {
+      if (ServerPool::LifetimeOf(*pooled) == due && pooled->listed &&
+          !pooled->server.draining) {
+        this->RequestReport(pooled, now);
       }
-      this->log.Write(
-          EventLevel::kInfo, "server_notice",
-          {{"server", pooled->server.id},
-           {"running", pooled->own_load.running},
-           {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
-    };
-    this->pool.CallChannel(*pooled).Call(std::move(call), on_report);
+    }
   }
 }
 
@@ -136,6 +193,13 @@
   this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
   this->pool.UpdatePeerPrefixes(summary.prefixes, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
+  bool any_leaves = false;
+  for (const serving::LeavingServer& announced : summary.leaving) {
+    any_leaves |= this->pool.Leaving().Merge(announced, BootClock::now());
+  }
+  if (any_leaves) {
+    this->RequestStopNotices(BootClock::now());
+  }
   if (!this->config) {
     return;
   }
@@ -225,6 +289,7 @@
   report.prefixes.assign(this->pool.OwnPrefixes().begin(),
                          this->pool.OwnPrefixes().end());
   report.quota_levels = this->quotas.Levels(now);
+  report.leaving = this->pool.Leaving().Announce();
   return report;
 }
 
@@ -239,6 +304,7 @@
     exchange->CheckTime(now);
   }
   this->pool.CheckTime(now);
+  this->CheckLeavingServers(now);
   for (const uint64_t fingerprint : this->pool.TakeCrashSuspects()) {
     this->suspects.CountCrash(fingerprint, now);
     this->log.Write(EventLevel::kWarning, "crash_suspect",
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -66,6 +66,19 @@
   }
 };
 
+/** A server that has said in an answer that it is about to stop. */
+struct LeavingServer {
+  NameHash server = 0;
+  uint64_t started = 0;  ///< Start of its lifetime, in Unix milliseconds.
+  uint32_t age_ms = 0;   ///< Time since the answer when the message was sent.
+  TimePoint answered;    ///< Local boot clock; not part of messages.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->server, this->started, this->age_ms);
+  }
+};
+
 /** Traffic data of a node that other nodes need. */
 struct TrafficReport {
   /** Admitted quota units since start, by customer. */
@@ -76,6 +89,7 @@
   std::map<uint64_t, uint32_t> crashes;  ///< By request fingerprint.
   std::vector<PrefixSend> prefixes;      ///< Recent prefixes.
   std::map<std::string, double> quota_levels;  ///< By customer; not sent.
+  std::vector<LeavingServer> leaving;          ///< Sent in PeerMessageTail.
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -131,6 +145,17 @@
   }
 };
 
+/** Encoded after a PeerMessage. Earlier versions ignore it; a message without
+ * it leaves the defaults. Fields may only be added at the end. */
+struct PeerMessageTail {
+  std::vector<LeavingServer> leaving;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->leaving);
+  }
+};
+
 /** Format version of PeerMessage; messages of other versions are dropped. */
 inline constexpr uint32_t kPeerFormat = 3;
 
@@ -152,6 +177,7 @@
   std::map<NameHash, ServerLoad> loads;  ///< Sum of all other nodes.
   std::map<uint64_t, uint32_t> crashes;  ///< Sum of all other nodes.
   std::vector<PrefixSend> prefixes;  ///< Of all nodes, since the last summary.
+  std::vector<LeavingServer> leaving;  ///< Of all nodes; ages as of now.
 };
 
 }  // namespace boragewharf::serving
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -86,6 +86,7 @@
 
 /** State that a server reports when asked. */
 struct ServerReport {
+  bool ready = false;  ///< The server takes requests and is not leaving.
   bool draining = false;
   std::optional<Milliseconds> leaves_in;  ///< Until it stops, if known.
 };
@@ -100,6 +101,9 @@
   bool not_run = false;       ///< The server did not run the request.
   bool event_stream = false;  ///< The body is an event stream.
   bool close = false;         ///< The server closes the connection.
+  bool leaving = false;       ///< The server is about to stop.
+  /** Time for which the server wants no requests from this node. */
+  std::optional<Milliseconds> retry_after;
   std::optional<double> keep_alive;    ///< Idle timeout in seconds.
   std::vector<HeaderField> forwarded;  ///< Passed on to the client.
 };
