Keep connections whose request has been read when idle ones are closed

Cause: the read that follows an accept completes at once if the request is already there, and its handler waits in the queue. The end of the process had the same gap, and a stream that began before the stop closed a connection that the client had been told to keep. Change: an idle connection is closed by cancelling its read, and stays open if that read brings data. Before the process ends it stops accepting, closes idle connections the same way, and rejects what arrives. A connection is closed after a response only if the response said so. Measured: ConnectionTest.CloseIdleKeepsConnectionWhoseReadHasCompleted failed before (no request handled) and passes. Two tests run the loop once before they count connections, as the close takes one turn of the loop.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -113,6 +113,13 @@
   /** Closes the connection if one of its timeouts has expired. */
   void CheckTime(TimePoint now);
 
+  /**
+   * Closes the connection unless it has a request that is unread, partly read
+   * or in progress, or response bytes to be written. It may stay open until the
+   * event loop has run the handler of a pending read.
+   */
+  void CloseIfIdle();
+
  private:
   void Read();
   void OnRead(const boost::system::error_code& error, size_t size);
@@ -139,6 +146,7 @@
   bool request_active = false;  ///< A request is being answered.
   bool client_keeps_alive = true;
   bool close_after_write = false;
+  bool close_if_idle = false;  ///< The read was cancelled by CloseIfIdle().
 };
 
 /** Accepts connections on an address. */
@@ -165,6 +173,10 @@
    * progress. */
   void CloseIdle();
 
+  /** Closes the listening socket. Open connections go on; those that the
+   * kernel has accepted for this listener are reset. */
+  void StopAccepting();
+
   /** Number of open connections. */
   size_t Connections() const { return this->connections.size(); }
 
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
+#include <utility>
 #include <vector>
 
 namespace boragewharf::httpio {
@@ -97,6 +98,15 @@
   if (!this->socket.is_open()) {
     return;  // Closed while this completion handler was queued.
   }
+  const bool close_requested = std::exchange(this->close_if_idle, false);
+  if (close_requested && error == asio::error::operation_aborted) {
+    if (this->HasUnreadData()) {
+      this->Read();
+    } else {
+      this->Close();
+    }
+    return;
+  }
   if (error) {
     if (this->socket.is_open() && this->request_active) {
       this->listener.handler.OnClientDisconnected(*this);
@@ -309,10 +319,25 @@
     this->EndResponse(false);
     return;
   }
-  if (now - this->last_progress > this->listener.limits.idle_timeout &&
-      !this->HasUnreadData()) {
+  if (now - this->last_progress > this->listener.limits.idle_timeout) {
+    this->CloseIfIdle();
+  }
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (!this->socket.is_open() || !this->IsIdle() || this->pending_bytes > 0 ||
+      this->HasUnreadData()) {
+    return;
+  }
+  if (!this->read_active) {
     this->Close();
+    return;
   }
+  // A read may have completed already, with its handler still queued. OnRead()
+  // then gets the data instead of the cancellation.
+  this->close_if_idle = true;
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);
 }
 
 HttpListener::HttpListener(asio::io_context& event_loop,
@@ -356,13 +381,15 @@
   const std::vector<std::shared_ptr<ServerConnection>> all(
       this->connections.begin(), this->connections.end());
   for (const auto& connection : all) {
-    if (connection->IsIdle() && connection->PendingBytes() == 0 &&
-        !connection->HasUnreadData()) {
-      connection->Abort();
-    }
+    connection->CloseIfIdle();
   }
 }
 
+void HttpListener::StopAccepting() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+}
+
 size_t HttpListener::BusyConnections() const {
   size_t count = 0;
   for (const auto& connection : this->connections) {
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -237,9 +237,44 @@
   EXPECT_NE(this->ReadAll().find("/2"), std::string::npos);
   EXPECT_FALSE(this->saw_eof);
   this->listener.CloseIdle();
+  this->RunLoop();
   EXPECT_EQ(this->listener.Connections(), 0U);
 }
 
+// Guards against closing a connection as idle whose request has been read, but
+// whose handler is still queued: the read that follows an accept completes at
+// once if the request is already there (found as LOST on kbtc-wharf-grown).
+TEST_F(ConnectionTest, CloseIdleKeepsConnectionWhoseReadHasCompleted) {
+  this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(20));
+  for (int i = 0; i < 100 && this->listener.Connections() == 0; ++i) {
+    this->loop.poll_one();
+  }
+  ASSERT_EQ(this->listener.Connections(), 1U);
+  ASSERT_EQ(this->handler.requests, 0);
+  this->listener.CloseIdle();
+  this->RunLoop();
+  EXPECT_EQ(this->handler.requests, 1);
+  EXPECT_NE(this->ReadAll().find("/1"), std::string::npos);
+  this->listener.CloseIdle();
+  this->RunLoop();
+  EXPECT_EQ(this->listener.Connections(), 0U);
+}
+
+TEST_F(ConnectionTest, StopAcceptingKeepsOpenConnections) {
+  this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunLoop();
+  this->listener.StopAccepting();
+  this->Write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunLoop();
+  EXPECT_EQ(this->handler.requests, 2);
+  tcp::socket second(this->client_loop);
+  boost::system::error_code error;
+  second.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port),
+                 error);
+  EXPECT_TRUE(error);
+}
+
 // Guards against the same fault when the idle timeout expires.
 TEST_F(ConnectionTest, IdleTimeoutKeepsConnectionWithUnreadRequest) {
   this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -251,6 +286,7 @@
   EXPECT_EQ(this->handler.requests, 2);
   EXPECT_NE(this->ReadAll().find("/2"), std::string::npos);
   this->listener.CheckTime(BootClock::now() + std::chrono::hours(1));
+  this->RunLoop();
   EXPECT_EQ(this->listener.Connections(), 0U);
 }
 
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -56,6 +56,8 @@
   void WaitForSignal();
   void ReloadSettings();
   void BeginShutdown();
+  /** Rejects all further requests; the process exits soon after. */
+  void BeginExit(TimePoint now);
   void TickTraffic();
   void CheckSettingsFile();
 
@@ -76,6 +78,7 @@
   std::string last_settings_text;
   TimePoint next_report_time;
   std::optional<TimePoint> shutdown_started;  ///< Traffic loop only.
+  std::optional<TimePoint> exit_started;      ///< Traffic loop only.
 };
 
 }  // namespace boragewharf::node
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -34,7 +34,8 @@
 constexpr int kExitMarginDivisor = 12;
 
 /** Requests still without a response are answered this long before the process
- * exits; allows for delayed ticks. */
+ * exits, and its connections are closed within this time; allows for delayed
+ * ticks. */
 constexpr std::chrono::milliseconds kFinalAnswerTime =
     2 * relay::TrafficCore::kTickPeriod;
 
@@ -219,6 +220,16 @@
   });
 }
 
+void Node::BeginExit(TimePoint now) {
+  this->exit_started = now;
+  // Requests that were read but not handled yet are rejected.
+  this->traffic->SetShutdownTime(now);
+  if (this->client_listener) {
+    this->client_listener->StopAccepting();
+    this->client_listener->CloseIdle();
+  }
+}
+
 void Node::TickTraffic() {
   const TimePoint now = BootClock::now();
   this->traffic_delay_monitor.Observe(now);
@@ -243,9 +254,13 @@
                        this->client_listener->BusyConnections() == 0) &&
                       elapsed > std::chrono::duration_cast<Duration>(
                                     grace * kMinServingShare);
-    if (idle || elapsed > grace - ExitMargin(grace)) {
-      // Reject requests that arrive before the loops have stopped.
-      this->traffic->SetShutdownTime(now);
+    if (!this->exit_started && (idle || elapsed > grace - ExitMargin(grace))) {
+      this->BeginExit(now);
+    }
+    const bool closed =
+        !this->client_listener || this->client_listener->Connections() == 0;
+    if (this->exit_started &&
+        (closed || now - *this->exit_started >= kFinalAnswerTime)) {
       asio::post(this->control_loop, [this] { this->control_loop.stop(); });
       return;
     }
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -129,6 +129,7 @@
   }
   if (this->core.shutting_down) {
     head += "Connection: close\r\n";
+    this->close_announced = true;
   }
   head += "Transfer-Encoding: chunked\r\n\r\n";
   this->client->Send(std::move(head));
@@ -215,6 +216,7 @@
   }
   if (this->core.shutting_down || !this->client->KeepAlive()) {
     answer += "Connection: close\r\n";
+    this->close_announced = true;
   }
   answer += "\r\n";
   answer += this->buffered;
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -38,6 +38,7 @@
   fields.emplace_back("Content-Type", "application/json");
   const std::string text = "{\"error\":\"" + std::string(reason) + "\"}";
   const bool keep = !this->core.shutting_down && this->client->KeepAlive();
+  this->close_announced = !keep;
   this->client->Send(httpio::MakeResponse(status, fields, text, keep));
   this->Finish(reason, status);
 }
@@ -131,7 +132,9 @@
   const auto connection = this->client;
   this->core.exchanges.erase(connection.get());
   if (connection->IsOpen() && status != 0) {
-    connection->EndResponse(!this->core.shutting_down);
+    // The client may already have sent its next request on a connection that
+    // it was told to keep; that connection is closed once it is idle.
+    connection->EndResponse(!this->close_announced);
   }
 }
 
