Learn the prefill speed of engines instead of assuming one

Cause: the prompt tokens that a server reads per second stood in the code (120,000 for scaling, 130 per ms for routing), as known of two deployments. Change: each node estimates the speed per service from the time to the first event of prompts of different lengths (PrefillSpeedEstimate), nodes exchange the estimates in the tail of the peer message, and their weighted median is used by routing and scaling. Until it is known, 50 tokens per ms are assumed and the initial servers are kept. Also uses the bound of streams before a planned stop. Each change of the number of servers needed is logged with its inputs.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -316,6 +316,7 @@
   std::optional<TimePoint> last_growth;
   bool initial_servers_known = false;  ///< initial_servers is final.
   std::optional<TimePoint> first_demand;
+  uint32_t last_needed = 0;  ///< Last number that was logged.
 };
 
 /** A server that started draining or was removed. */
--- a/packages/fleet/include/fleet/scaling_policy_base.h
+++ b/packages/fleet/include/fleet/scaling_policy_base.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "serving/config_type.h"
@@ -25,6 +26,9 @@
 struct ScalingDemand {
   double prefill_per_second = 0;  ///< Prompt tokens of arriving requests.
   double running = 0;             ///< Requests in progress.
+  /** Prompt tokens that a server reads per second, as measured; empty until it
+   * is known. */
+  std::optional<double> prefill_per_server;
 };
 
 /** Number of servers of each kind that a zone should have. */
--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -5,9 +5,11 @@
 #include "scaling_cmd.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "fleet/fleet_cmd.h"
+#include "spread_cmd.h"
 
 namespace boragewharf::fleet {
 namespace {
@@ -64,6 +66,12 @@
       add(entry.report);
     }
   }
+  const auto speeds = PrefillSpeeds(state, now);
+  const auto speed = speeds.find(hash);
+  if (speed != speeds.end()) {
+    constexpr double kMsPerSecond = 1000;
+    total.prefill_per_server = kMsPerSecond * speed->second;
+  }
   return total;
 }
 
@@ -129,8 +137,9 @@
   return scaling.initial_servers_known;
 }
 
-/** The largest recent need. Until demand has been present for kDemandWarmUp, it
- * is at least kInitialServersShare of the initial servers. */
+/** The largest recent need. Until demand has been present for kDemandWarmUp and
+ * the speed of the servers is known, it is at least kInitialServersShare of the
+ * initial servers. */
 uint32_t CurrentNeed(ScalingState& scaling,
                      const serving::Service& service,
                      const ScalingDemand& demand,
@@ -146,8 +155,9 @@
   for (const auto& [time, need] : scaling.recent_needs) {
     needed = std::max(needed, need);
   }
-  const bool seen =
-      scaling.first_demand && now - *scaling.first_demand > kDemandWarmUp;
+  const bool seen = scaling.first_demand &&
+                    now - *scaling.first_demand > kDemandWarmUp &&
+                    demand.prefill_per_server;
   if (!seen) {
     needed = std::max(needed, static_cast<uint32_t>(scaling.initial_servers *
                                                     kInitialServersShare));
@@ -209,6 +219,17 @@
   const bool starting = permit.Fencing() == lease::kFirstFencing;
   const bool counted = CountInitialServers(scaling, zones, starting, now);
   const uint32_t needed = CurrentNeed(scaling, service, demand, now);
+  if (needed != scaling.last_needed) {
+    scaling.last_needed = needed;
+    effects.emplace_back(LogChange{
+        "servers_needed",
+        service.name + " " + std::to_string(needed) + " prefill " +
+            std::to_string(std::lround(demand.prefill_per_second)) +
+            "/s speed " +
+            std::to_string(std::lround(demand.prefill_per_server.value_or(0))) +
+            "/s running " + std::to_string(std::lround(demand.running)),
+        state.servers_revision});
+  }
   const ZonePlans plans =
       state.scaling_policy->Plan(*service.scaling, needed, zones);
   for (const auto& [zone, plan] : plans) {
--- a/packages/fleet/src/scaling_policy_base.cc
+++ b/packages/fleet/src/scaling_policy_base.cc
@@ -8,16 +8,14 @@
 #include <cmath>
 #include <vector>
 
+#include "serving/prefill_speed_base.h"
+
 namespace boragewharf::fleet {
 namespace {
 
-/** Prompt tokens that a server can process per second. The engines of the two
- * deployments process 112,000 and 157,000. */
-constexpr double kPrefillPerServer = 120000;
-
-/** Fraction of kPrefillPerServer to plan for, so that the time to the first
- * token stays short. */
-constexpr double kPrefillUtilization = 0.5;
+/** Fraction of a server's measured prefill speed to plan for, so that the time
+ * to the first token stays short. */
+constexpr double kPrefillUtilization = 0.7;
 
 /** Fraction of a server's slots to plan for, so that decoding steps stay fast.
  */
@@ -136,8 +134,11 @@
 uint32_t ServersNeeded(const serving::Service& service,
                        const ScalingDemand& demand) {
   const double slots = std::max<uint32_t>(1, service.engine->slots);
+  constexpr double kMsPerSecond = 1000;
+  const double per_server = demand.prefill_per_server.value_or(
+      kMsPerSecond * serving::kAssumedTokensPerMs);
   const double by_prefill =
-      demand.prefill_per_second / (kPrefillPerServer * kPrefillUtilization);
+      demand.prefill_per_second / (per_server * kPrefillUtilization);
   const double by_slots = demand.running / (slots * kSlotUtilization);
   const double needed = std::ceil(std::max(by_prefill, by_slots));
   return std::max(kMinServers, static_cast<uint32_t>(needed));
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -102,6 +102,7 @@
   message.status.wall_confirmed = state.wall_confirmed && !state.wall_in_doubt;
   message.report.admitted = state.report.admitted;
   message.report.crashes = state.report.crashes;
+  message.report.prefill_speeds = state.report.prefill_speeds;
   message.report.leaving = state.report.leaving;
   for (serving::LeavingServer& leaving : message.report.leaving) {
     leaving.age_ms =
@@ -181,6 +182,29 @@
   return std::max<Duration>(kMessagePeriod, nodes * kPeriodPerNode);
 }
 
+std::map<serving::NameHash, double> PrefillSpeeds(const FleetState& state,
+                                                  TimePoint now) {
+  std::map<serving::NameHash, std::vector<serving::PrefillSpeed>> measured;
+  const auto add = [&](const serving::TrafficReport& report) {
+    for (const auto& [service, speed] : report.prefill_speeds) {
+      measured[service].push_back(speed);
+    }
+  };
+  add(state.report);
+  for (const auto& [ip, entry] : state.peers.All()) {
+    if (!IsSilent(entry.last_message_at, MessagePeriod(state), now)) {
+      add(entry.report);
+    }
+  }
+  std::map<serving::NameHash, double> speeds;
+  for (const auto& [service, of_nodes] : measured) {
+    if (const auto speed = serving::CombineSpeeds(of_nodes)) {
+      speeds[service] = *speed;
+    }
+  }
+  return speeds;
+}
+
 std::vector<std::string> NodesForClient(const FleetState& state,
                                         std::string_view region,
                                         TimePoint now) {
@@ -276,6 +300,7 @@
   }
   serving::PeerSummary summary =
       state.peers.TakeSummary(MessagePeriod(state), now);
+  summary.prefill_speeds = PrefillSpeeds(state, now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
   summary.informed =
       state.peers.HasFullView(now) || now - state.started > kInformedAfter;
--- a/packages/fleet/src/spread_cmd.h
+++ b/packages/fleet/src/spread_cmd.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include <map>
 #include <vector>
 
 #include "fleet/fleet_type.h"
@@ -25,6 +26,11 @@
                  TimePoint now,
                  std::vector<Effect>& effects);
 
+/** Prompt tokens per millisecond of a server, by service, as measured by this
+ * node and all that are not silent. */
+std::map<serving::NameHash, double> PrefillSpeeds(const FleetState& state,
+                                                  TimePoint now);
+
 /** Makes the next message due now and send it to all regions, if this node
  * watches the store. Used to pass on changes from the store without delay. */
 void ScheduleMessageNow(FleetState& state, TimePoint now);
--- a/packages/fleet/tests/scaling_test.cc
+++ b/packages/fleet/tests/scaling_test.cc
@@ -41,10 +41,26 @@
   serving::Service service;
   service.engine = serving::EngineProfile{};
   service.engine->slots = 10;
-  EXPECT_EQ(ServersNeeded(service, {}), ServersNeeded(service, {1, 1}));
-  EXPECT_GT(ServersNeeded(service, {1000000, 0}),
-            ServersNeeded(service, {300000, 0}));
-  EXPECT_GE(ServersNeeded(service, {0, 100}), 10U);
+  EXPECT_EQ(ServersNeeded(service, {}),
+            ServersNeeded(service, {1, 1, std::nullopt}));
+  EXPECT_GT(ServersNeeded(service, {1000000, 0, 60000}),
+            ServersNeeded(service, {300000, 0, 60000}));
+  EXPECT_GE(ServersNeeded(service, {0, 100, std::nullopt}), 10U);
+}
+
+// Guards against a speed that holds for one deployment: engines that read half
+// as fast need twice the servers for the same prompts.
+TEST_F(ScalingTest, NeedFollowsTheSpeedOfTheEngines) {
+  serving::Service service;
+  service.engine = serving::EngineProfile{};
+  service.engine->slots = 128;
+  constexpr double kDemand = 1200000;
+  const uint32_t slow = ServersNeeded(service, {kDemand, 0, 30000});
+  const uint32_t middle = ServersNeeded(service, {kDemand, 0, 60000});
+  const uint32_t fast = ServersNeeded(service, {kDemand, 0, 300000});
+  EXPECT_NEAR(slow, 2.0 * middle, 1);
+  EXPECT_NEAR(middle, 5.0 * fast, 5);
+  EXPECT_GT(fast, kDemand / 300000);
 }
 
 // Scenario: there are enough reclaimable servers in all zones. Guards against
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -82,7 +82,8 @@
   std::ostringstream stream(std::ios::binary);
   {
     cereal::PortableBinaryOutputArchive archive(stream);
-    archive(message, serving::PeerMessageTail{message.report.leaving});
+    archive(message, serving::PeerMessageTail{message.report.leaving,
+                                              message.report.prefill_speeds});
   }
   return stream.str();
 }
@@ -96,6 +97,7 @@
       serving::PeerMessageTail tail;
       reader(tail);
       message.report.leaving = std::move(tail.leaving);
+      message.report.prefill_speeds = std::move(tail.prefill_speeds);
     }
     return message;
   } catch (const std::exception&) {
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -21,6 +21,7 @@
 #include "serving/crash_suspects_base.h"
 #include "serving/peer_type.h"
 #include "serving/planned_stop_base.h"
+#include "serving/prefill_speed_base.h"
 #include "serving/quota_base.h"
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
@@ -143,7 +144,9 @@
 
   /** Upper estimate of the time a request on @p route takes; empty if unknown.
    */
-  std::optional<Duration> ExpectedDuration(const serving::Route& route) const;
+  std::optional<Duration> ExpectedDuration(
+      const serving::Route& route,
+      const serving::RequestFacts& facts) const;
 
   /** Counts a request that began to run for the usage report. */
   void CountUsage(const std::string& customer, TimePoint now);
@@ -161,8 +164,14 @@
   bool shutting_down = false;
   std::optional<TimePoint> shutdown_at;  ///< Set during a planned stop.
   std::map<std::string, serving::DurationEstimate>
-      route_durations;  ///< By route.
+      route_durations;  ///< By route, without streams.
+  std::map<std::string, serving::StreamDurationEstimate>
+      stream_durations;  ///< By route.
   uint32_t nodes = 1;
+  std::map<std::string, serving::PrefillSpeedEstimate>
+      prefill_estimates;  ///< Of this node, by service.
+  /** Prompt tokens per millisecond by service, as all nodes have measured. */
+  std::map<serving::NameHash, double> prefill_speeds;
   std::optional<int64_t> wall_offset_ms;
   serving::QuotaTable quotas;
   serving::RetryBudget budget;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -93,8 +93,7 @@
   }
   this->attempt->last_progress = now;
   if (!this->attempt->first_event) {
-    this->attempt->first_event = true;
-    this->EndPrefill();
+    this->OnFirstEvent(now);
   }
   if (!this->usage_counted) {
     this->usage_counted = true;
@@ -116,6 +115,19 @@
   }
 }
 
+void Exchange::OnFirstEvent(TimePoint now) {
+  this->attempt->first_event = true;
+  this->EndPrefill();
+  const bool reads_prompt =
+      !this->attempt->resumes && this->choice_inputs.copy_from.empty();
+  const bool near =
+      this->attempt->server->distance != serving::Distance::kOtherRegion;
+  if (reads_prompt && near) {
+    this->core.prefill_estimates[this->service_name].Add(
+        this->choice_inputs.read_tokens, now - this->attempt->started, now);
+  }
+}
+
 void Exchange::SendStreamHead() {
   if (this->answer_started) {
     return;
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -166,9 +166,9 @@
     return true;
   }
   const TimePoint now = BootClock::now();
-  const serving::StopFacts facts{*this->core.shutdown_at - now,
-                                 this->Deadline() - now,
-                                 this->core.ExpectedDuration(*this->route)};
+  const serving::StopFacts facts{
+      *this->core.shutdown_at - now, this->Deadline() - now,
+      this->core.ExpectedDuration(*this->route, this->request.facts)};
   if (serving::EndsBeforeStop(facts)) {
     return true;
   }
@@ -231,6 +231,11 @@
   const bool engine = this->service != nullptr && this->service->engine;
   if (engine) {
     wanted.copy_ms_per_token = this->service->engine->copy_ms_per_token;
+    const auto speed =
+        this->core.prefill_speeds.find(serving::HashName(this->service_name));
+    if (speed != this->core.prefill_speeds.end()) {
+      wanted.prefill_tokens_per_ms = speed->second;
+    }
   }
   serving::RoutingPolicy& policy =
       engine ? *this->core.engine_policy : *this->core.plain_policy;
@@ -295,6 +300,7 @@
   next.last_progress = now;
   this->core.pool.RecordPrefix(*server,
                                serving::SharedPartId(this->request.facts), now);
+  next.resumes = fields.move || fields.last_event_id;
   if (!fields.move) {
     next.prefill_tokens = this->choice_inputs.read_tokens;
     this->core.demand[this->service_name].tokens_in_period +=
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -86,8 +86,10 @@
     TimePoint last_progress;  ///< When the request was sent, or the last useful
                               ///< response data arrived.
     bool sent = false;
-    bool completed = false;           ///< The response is complete.
-    bool first_event = false;         ///< At least one event has arrived.
+    bool completed = false;    ///< The response is complete.
+    bool first_event = false;  ///< At least one event has arrived.
+    bool resumes = false;      ///< Continues a stream; little of the prompt is
+                               ///< read.
     bool has_content_length = false;  ///< The response has this field.
     uint32_t prefill_tokens = 0;      ///< Still counted as load of the server.
     std::optional<serving::ResponseFacts> facts;
@@ -135,6 +137,8 @@
   void DropBuffered();
   void FailAttempt(serving::AttemptFailure failure);
   void ForwardEvents(TimePoint now);
+  /** Records that the first event of the attempt has arrived. */
+  void OnFirstEvent(TimePoint now);
   void SendStreamHead();
   void SendChunk(std::string_view bytes);
   void ForwardBuffered();
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -72,11 +72,13 @@
     std::shared_ptr<const serving::ServingConfig> next) {
   this->config = std::move(next);
   this->quotas.Configure(*this->config, BootClock::now());
-  std::erase_if(this->route_durations, [&](const auto& known) {
+  const auto removed = [&](const auto& known) {
     return std::ranges::none_of(this->config->routes, [&](const auto& route) {
       return route.name == known.first;
     });
-  });
+  };
+  std::erase_if(this->route_durations, removed);
+  std::erase_if(this->stream_durations, removed);
   this->StartWaitingRequests();
 }
 
@@ -193,6 +195,7 @@
   this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
   this->pool.UpdatePeerPrefixes(summary.prefixes, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
+  this->prefill_speeds = summary.prefill_speeds;
   bool any_leaves = false;
   for (const serving::LeavingServer& announced : summary.leaving) {
     any_leaves |= this->pool.Leaving().Merge(announced, BootClock::now());
@@ -227,15 +230,17 @@
 }
 
 std::optional<Duration> TrafficCore::ExpectedDuration(
-    const serving::Route& route) const {
-  const auto found = this->route_durations.find(route.name);
-  if (found != this->route_durations.end()) {
-    return found->second.Bound();
-  }
+    const serving::Route& route,
+    const serving::RequestFacts& facts) const {
   if (route.kind == serving::RouteKind::kStream) {
-    return std::nullopt;  // The goal is the time to the first event only.
+    const auto found = this->stream_durations.find(route.name);
+    return found == this->stream_durations.end()
+               ? std::nullopt
+               : found->second.Bound(facts.max_output_tokens);
   }
-  return route.goal;
+  const auto found = this->route_durations.find(route.name);
+  return found == this->route_durations.end() ? route.goal
+                                              : found->second.Bound();
 }
 
 void TrafficCore::CountUsage(const std::string& customer, TimePoint now) {
@@ -290,6 +295,11 @@
                          this->pool.OwnPrefixes().end());
   report.quota_levels = this->quotas.Levels(now);
   report.leaving = this->pool.Leaving().Announce();
+  for (auto& [service, estimate] : this->prefill_estimates) {
+    if (const auto speed = estimate.Current(now)) {
+      report.prefill_speeds[serving::HashName(service)] = *speed;
+    }
+  }
   return report;
 }
 
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/time_type.h"
+#include "serving/prefill_speed_base.h"
 
 namespace boragewharf::serving {
 
@@ -90,6 +91,8 @@
   std::vector<PrefixSend> prefixes;      ///< Recent prefixes.
   std::map<std::string, double> quota_levels;  ///< By customer; not sent.
   std::vector<LeavingServer> leaving;          ///< Sent in PeerMessageTail.
+  /** By service; sent in PeerMessageTail. */
+  std::map<NameHash, PrefillSpeed> prefill_speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -149,10 +152,11 @@
  * it leaves the defaults. Fields may only be added at the end. */
 struct PeerMessageTail {
   std::vector<LeavingServer> leaving;
+  std::map<NameHash, PrefillSpeed> prefill_speeds;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->leaving);
+    archive(this->leaving, this->prefill_speeds);
   }
 };
 
@@ -178,6 +182,9 @@
   std::map<uint64_t, uint32_t> crashes;  ///< Sum of all other nodes.
   std::vector<PrefixSend> prefixes;  ///< Of all nodes, since the last summary.
   std::vector<LeavingServer> leaving;  ///< Of all nodes; ages as of now.
+  /** Prompt tokens per millisecond of a server, by service, as all nodes have
+   * measured it. */
+  std::map<NameHash, double> prefill_speeds;
 };
 
 }  // namespace boragewharf::serving
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -37,6 +37,8 @@
   uint64_t shared_part = 0;    ///< Id of the last shared part; 0: none.
   uint64_t body_bytes = 0;
   bool urgent = false;  ///< Served before other queued requests.
+  /** Prompt tokens that a server reads per millisecond; empty if unknown. */
+  std::optional<double> prefill_tokens_per_ms;
   /** Milliseconds to copy the KV memory of a token from another server of the
    * same zone; 0: the servers cannot copy. */
   double copy_ms_per_token = 0;
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -8,15 +8,12 @@
 #include <iterator>
 #include <random>
 
+#include "serving/prefill_speed_base.h"
 #include "serving/routing_policy_base.h"
 
 namespace boragewharf::serving {
 namespace {
 
-/** Prefill speed in prompt tokens per millisecond. The engines of the
- * deployments reach 112 and 157. */
-constexpr double kPrefillTokensPerMs = 130.0;
-
 /** Milliseconds that a full batch adds to a prefill in several steps. */
 constexpr double kBatchDelayMs = 60.0;
 
@@ -164,10 +161,15 @@
   bool is_copied = false;    ///< Copied from another server.
 };
 
+/** Time to read a number of prompt tokens, in milliseconds. */
+double PrefillMs(const RouteRequest& request, double tokens) {
+  return tokens / request.prefill_tokens_per_ms.value_or(kAssumedTokensPerMs);
+}
+
 PrefixCost CostOfPrefix(const RouteRequest& request,
                         const ServerView& view,
                         const ServerView* source) {
-  const double prefill_ms = request.shared_tokens / kPrefillTokensPerMs;
+  const double prefill_ms = PrefillMs(request, request.shared_tokens);
   if (source == nullptr || request.copy_ms_per_token <= 0 ||
       request.shared_tokens < kMinCopiedTokens) {
     return {prefill_ms, (kRecomputeWeight - 1) * prefill_ms,
@@ -211,9 +213,9 @@
         prefix.price_ms = 0;
       }
       const double backlog =
-          static_cast<double>(view.prefill_tokens) / kPrefillTokensPerMs;
+          PrefillMs(request, static_cast<double>(view.prefill_tokens));
       const double expected = LoadDelay(view) + backlog + prefix.delay_ms +
-                              own_tokens / kPrefillTokensPerMs;
+                              PrefillMs(request, own_tokens);
       const double cost =
           expected + prefix.price_ms + DistanceDelay(view, request.body_bytes);
       if (!best || cost < best_cost) {
--- a/packages/serving/tests/routing_load_test.cc
+++ b/packages/serving/tests/routing_load_test.cc
@@ -175,6 +175,7 @@
                               static_cast<double>(kind.distinct_parts));
     request.body_bytes = 1000;
     request.copy_ms_per_token = kCopyMsPerToken;
+    request.prefill_tokens_per_ms = this->model.prefill_tokens_per_ms;
     const RouteChoice choice = this->Choose(node, request, now);
     this->ExecuteRequest(node, choice, kind, request, own_tokens, now);
   }
--- a/packages/serving/tests/routing_policy_test.cc
+++ b/packages/serving/tests/routing_policy_test.cc
@@ -138,6 +138,7 @@
   this->AddServer("far", Distance::kOtherRegion, 48);
   RouteRequest request;
   request.prompt_tokens = 6600;
+  request.prefill_tokens_per_ms = 130;
   request.body_bytes = 12000;
   this->views[0].prefill_tokens = 10000;
   EXPECT_EQ(this->engine->Choose(request, this->views)->index, 0U);
