--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -79,7 +79,7 @@
 
 /** Longest exclusion that is accepted, in milliseconds; a lease lasts seconds.
  */
-constexpr uint64_t kMaxExclusionMs = 24 * 60 * 60 * 1000;
+constexpr uint64_t kMaxExclusionMs = uint64_t{24} * 60 * 60 * 1000;
 
 /** Decodes the former holders; records of earlier software versions have none.
  * @return Empty optional if the list is malformed. */
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -75,7 +75,7 @@
   // Only the message of the previous version, which has no tail, is complete.
   const size_t without_tail = EncodePreviousVersion(message).size();
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
-    const auto part = DecodePeerMessage(std::string_view(bytes).substr(0, cut));
+    const auto part = DecodePeerMessage(bytes.substr(0, cut));
     EXPECT_EQ(part.has_value(), cut == without_tail) << cut;
   }
 }
