--- a/packages/relay/include/relay/request_wire_base.h
+++ b/packages/relay/include/relay/request_wire_base.h
@@ -55,10 +55,10 @@
       std::string_view attempt_id,
       std::optional<serving::Milliseconds> retry_after) const = 0;
 
-  /** Path of a server's status report. */
+  /** Path at which a server reports its state. */
   virtual std::string ReportTarget() const = 0;
 
-  /** Decodes a status report; malformed fields are treated as absent. */
+  /** Decodes such a report; malformed fields are treated as absent. */
   virtual serving::ServerReport DecodeReport(std::string_view body) const = 0;
 
   /** Encodes method, target, fields and body of a move request. */
