Name request, server and prompt parts of crash suspects in the log

Change: the broken requests of a server keep their ids and shared parts; the log line has them and the time to the confirmation.

--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -22,6 +22,21 @@
 
 namespace boragewharf::relay {
 
+/** A request whose connection to its server broke without a response. */
+struct BrokenRequest {
+  TimePoint broken_at;
+  uint64_t fingerprint = 0;  ///< See serving::RequestFingerprint().
+  std::string attempt_id;
+  std::vector<uint64_t> shared_parts;  ///< Ids, in the order of the prompt.
+};
+
+/** A request that was running on a server when it crashed. */
+struct CrashSuspect {
+  std::string server_id;
+  std::string service;
+  BrokenRequest request;
+};
+
 /** A backend server and this node's state for it. */
 struct PooledServer {
   serving::BackendServer server;
@@ -42,9 +57,7 @@
   /** By prefix hash, when any node last sent a request with it here. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
   std::unique_ptr<httpio::HttpChannel> call_channel;  ///< See CallChannel().
-  /** Time and fingerprint of requests whose connection broke without a
-   * response, oldest first. */
-  std::deque<std::pair<TimePoint, uint64_t>> broken_requests;
+  std::deque<BrokenRequest> broken_requests;          ///< Oldest first.
 };
 
 /** All backend servers. Not thread-safe; used on the traffic loop. */
@@ -147,17 +160,15 @@
                      TimePoint now);
 
   /** Records that a request's connection broke without a response. */
-  void RecordBrokenRequest(PooledServer& server,
-                           uint64_t fingerprint,
-                           TimePoint now);
+  void RecordBrokenRequest(PooledServer& server, BrokenRequest request);
 
   /**
-   * Returns and clears the fingerprints of requests that were running on
-   * servers when these crashed. A lost response alone does not count as a
+   * Returns and clears the requests that were running on servers when these
+   * crashed. A lost response alone does not count as a
    * crash: the server also has to be unreachable, removed or restarted soon
    * after.
    */
-  std::vector<uint64_t> TakeCrashSuspects();
+  std::vector<CrashSuspect> TakeCrashSuspects();
 
   /** Closes connections that were idle for too long and drops old prefixes. */
   void CheckTime(TimePoint now);
@@ -179,7 +190,7 @@
   std::unordered_map<serving::NameHash, PooledServer*> by_hash;
   std::deque<serving::PrefixSend> own_prefixes;
   serving::LeavingServers leaving;
-  std::vector<uint64_t> crash_suspects;
+  std::vector<CrashSuspect> crash_suspects;
   TimePoint peer_loads_at;
 };
 
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -138,6 +138,9 @@
    * ready. */
   void CheckLeavingServers(TimePoint now);
 
+  /** Counts and logs the requests that ran on servers that have crashed. */
+  void CountCrashes(TimePoint now);
+
   /** Restarts the requests in waiting_for_config. Those that still have to wait
    * add themselves again. */
   void StartWaitingRequests();
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -402,7 +402,9 @@
     this->core.pool.RecordFailure(*server, failure, now);
   }
   if (failure == AttemptFailure::kConnectionLost && !this->usage_counted) {
-    this->core.pool.RecordBrokenRequest(*server, this->fingerprint, now);
+    this->core.pool.RecordBrokenRequest(
+        *server, {now, this->fingerprint, this->request.facts.attempt_id,
+                  serving::SharedPartIds(this->request.facts)});
   }
   this->core.log.Write(
       EventLevel::kWarning, "attempt_failed",
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -309,24 +309,24 @@
 }
 
 void ServerPool::RecordBrokenRequest(PooledServer& pooled,
-                                     uint64_t fingerprint,
-                                     TimePoint now) {
-  pooled.broken_requests.emplace_back(now, fingerprint);
+                                     BrokenRequest request) {
+  pooled.broken_requests.push_back(std::move(request));
   if (pooled.broken_requests.size() > kMaxBrokenRequests) {
     pooled.broken_requests.pop_front();
   }
 }
 
 void ServerPool::ConfirmCrash(PooledServer& pooled, TimePoint now) {
-  for (const auto& [when, fingerprint] : pooled.broken_requests) {
-    if (now - when < kCrashConfirmTime) {
-      this->crash_suspects.push_back(fingerprint);
+  for (BrokenRequest& request : pooled.broken_requests) {
+    if (now - request.broken_at < kCrashConfirmTime) {
+      this->crash_suspects.push_back(
+          {pooled.server.id, pooled.server.service, std::move(request)});
     }
   }
   pooled.broken_requests.clear();
 }
 
-std::vector<uint64_t> ServerPool::TakeCrashSuspects() {
+std::vector<CrashSuspect> ServerPool::TakeCrashSuspects() {
   return std::exchange(this->crash_suspects, {});
 }
 
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -39,6 +39,15 @@
 /** Period over which the demand is measured. */
 constexpr std::chrono::milliseconds kDemandPeriod(500);
 
+/** Ids as decimal numbers, separated by commas, for log lines. */
+std::string JoinIds(const std::vector<uint64_t>& ids) {
+  std::string text;
+  for (const uint64_t id : ids) {
+    text.append(text.empty() ? "" : ",").append(std::to_string(id));
+  }
+  return text;
+}
+
 }  // namespace
 
 TrafficCore::TrafficCore(boost::asio::io_context& event_loop,
@@ -315,11 +324,22 @@
   }
   this->pool.CheckTime(now);
   this->CheckLeavingServers(now);
-  for (const uint64_t fingerprint : this->pool.TakeCrashSuspects()) {
-    this->suspects.CountCrash(fingerprint, now);
-    this->log.Write(EventLevel::kWarning, "crash_suspect",
-                    {{"fingerprint", std::to_string(fingerprint)},
-                     {"refused", this->suspects.IsBlocked(fingerprint)}});
+  this->CountCrashes(now);
+}
+
+void TrafficCore::CountCrashes(TimePoint now) {
+  for (const CrashSuspect& suspect : this->pool.TakeCrashSuspects()) {
+    const BrokenRequest& request = suspect.request;
+    this->suspects.CountCrash(request.fingerprint, now);
+    this->log.Write(
+        EventLevel::kWarning, "crash_suspect",
+        {{"id", request.attempt_id},
+         {"server", suspect.server_id},
+         {"service", suspect.service},
+         {"fingerprint", std::to_string(request.fingerprint)},
+         {"shared_parts", JoinIds(request.shared_parts)},
+         {"confirmed_after_ms", Millis(now - request.broken_at)},
+         {"refused", this->suspects.IsBlocked(request.fingerprint)}});
   }
 }
 
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -67,6 +67,16 @@
   return count < 2 ? 0 : facts.parts[count - 2].id;
 }
 
+/** Ids of all parts except the last, unshared one, in the order of the prompt.
+ * @note Thread-safe. */
+inline std::vector<uint64_t> SharedPartIds(const RequestFacts& facts) {
+  std::vector<uint64_t> ids;
+  for (size_t i = 0; i + 1 < facts.parts.size(); ++i) {
+    ids.push_back(facts.parts[i].id);
+  }
+  return ids;
+}
+
 /** Copy from which a request continues after a move between servers. */
 struct MoveSource {
   std::string address;  ///< IP:PORT of the server that holds the copy.
