Attribute crashes of servers to the prompt parts of their requests

Cause: a request was known to crash servers by customer, target and body only, and requests that have only a part of their prompt in common never reach three crashes each. Crashes were confirmed 2.3 s after the fact (median), when a node next failed to connect or the list changed. Change: CrashAttribution (serving, pure) collects the requests of each crash by server lifetime. A part is blocked after three crashes under two or more distinct requests if no request with it was ever answered (four over half a second otherwise) while other requests are answered; crashes that it explains no longer speak against the parts beside it. Evidence, responses and verdicts travel at the end of the datagram, which earlier builds ignore. A broken connection is followed by a connection that confirms the crash at once. Blocks expire after 2 minutes, and a response ends them. Why it works: what the crashing requests share is counted, whoever sent them where; what tells the cause from its company is that nothing with it is answered. Measured: PartThatCrashesServersIsRefused failed before (16 crashes, 3 allowed) and passes.

--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -151,6 +151,7 @@
   entry.status = status;
   entry.report = message.report;
   entry.report.prefixes.clear();
+  serving::SetTimes(entry.report.crash_evidence, now);
   entry.last_message_at = now;
   return same_process ? ReceiveResult::kUpdate : ReceiveResult::kNewProcess;
 }
@@ -275,8 +276,14 @@
   serving::PeerSummary summary;
   uint32_t silent = 0;
   this->silent_after = kSilentPeriods * period;
+  summary.message_period = period;
   for (auto& [ip, entry] : this->peers) {
     summary.nodes += 1;
+    const serving::CrashEvidence& evidence = entry.report.crash_evidence;
+    if (!evidence.crashes.empty() || !evidence.blocked.empty() ||
+        !evidence.successes.empty()) {
+      summary.crash_evidence.push_back(evidence);
+    }
     this->AddEstimatedUse(entry, now);
     for (const auto& [fingerprint, count] : entry.report.crashes) {
       summary.crashes[fingerprint] += count;
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -108,6 +108,8 @@
     leaving.age_ms =
         static_cast<uint32_t>(BootMs(now) - BootMs(leaving.answered));
   }
+  message.report.crash_evidence = state.report.crash_evidence;
+  serving::SetAges(message.report.crash_evidence, now);
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
   while (!state.departures.empty() &&
          (now - state.departures.front().seen > kDepartureAnnounceTime ||
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -82,8 +82,10 @@
   std::ostringstream stream(std::ios::binary);
   {
     cereal::PortableBinaryOutputArchive archive(stream);
-    archive(message, serving::PeerMessageTail{message.report.leaving,
-                                              message.report.prefill_speeds});
+    archive(message,
+            serving::PeerMessageTail{message.report.leaving,
+                                     message.report.prefill_speeds},
+            message.report.crash_evidence);
   }
   return stream.str();
 }
@@ -99,6 +101,9 @@
       message.report.leaving = std::move(tail.leaving);
       message.report.prefill_speeds = std::move(tail.prefill_speeds);
     }
+    if (!reader.AtEnd()) {
+      reader(message.report.crash_evidence);
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;  // As in Decode().
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -33,6 +33,7 @@
 /** A request that was running on a server when it crashed. */
 struct CrashSuspect {
   std::string server_id;
+  uint64_t server_started = 0;  ///< Unix milliseconds.
   std::string service;
   BrokenRequest request;
 };
@@ -58,6 +59,7 @@
   std::unordered_map<uint32_t, TimePoint> prefixes;
   std::unique_ptr<httpio::HttpChannel> call_channel;  ///< See CallChannel().
   std::deque<BrokenRequest> broken_requests;          ///< Oldest first.
+  bool crash_probe_pending = false;  ///< See ServerPool::ProbeForCrash().
 };
 
 /** All backend servers. Not thread-safe; used on the traffic loop. */
@@ -159,8 +161,10 @@
                      serving::AttemptFailure failure,
                      TimePoint now);
 
-  /** Records that a request's connection broke without a response. */
-  void RecordBrokenRequest(PooledServer& server, BrokenRequest request);
+  /** Records that a request's connection broke without a response, and probes
+   * whether the server has crashed. */
+  void RecordBrokenRequest(const std::shared_ptr<PooledServer>& server,
+                           BrokenRequest request);
 
   /**
    * Returns and clears the requests that were running on servers when these
@@ -181,6 +185,9 @@
  private:
   serving::Distance DistanceTo(std::string_view other_zone) const;
   void ConfirmCrash(PooledServer& server, TimePoint now);
+  /** Opens a connection to see whether the server still accepts any; a refused
+   * connection confirms a crash. */
+  void ProbeForCrash(const std::shared_ptr<PooledServer>& server);
 
   boost::asio::io_context& loop;
   std::string zone;
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -18,6 +18,7 @@
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
 #include "serving/config_type.h"
+#include "serving/crash_attribution_base.h"
 #include "serving/crash_suspects_base.h"
 #include "serving/peer_type.h"
 #include "serving/planned_stop_base.h"
@@ -141,6 +142,15 @@
   /** Counts and logs the requests that ran on servers that have crashed. */
   void CountCrashes(TimePoint now);
 
+  /** Blocks the prompt parts that explain the crashes. */
+  void BlockCrashingParts(TimePoint now);
+
+  /** Logs the parts that are no longer blocked. */
+  void LogUnblocked(const std::vector<serving::PartKey>& parts);
+
+  /** Ends the requests that wait for a server and must not run any more. */
+  void AbandonBlockedRequests();
+
   /** Restarts the requests in waiting_for_config. Those that still have to wait
    * add themselves again. */
   void StartWaitingRequests();
@@ -179,6 +189,10 @@
   serving::QuotaTable quotas;
   serving::RetryBudget budget;
   serving::CrashSuspects suspects;
+  serving::CrashAttribution crash_attribution;
+  /** Time for which evidence is left open to other nodes' responses. */
+  Duration crash_settle_time{};
+  TimePoint next_crash_evaluation;
   std::unique_ptr<serving::RoutingPolicy> engine_policy;
   std::unique_ptr<serving::RoutingPolicy> plain_policy;
   std::mt19937_64 generator;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -24,6 +24,10 @@
 /** Maximum size of a stream event; engines send a few hundred bytes. */
 constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 
+/** A server that crashes on a request does so within this time after the first
+ * event of the response. */
+constexpr std::chrono::milliseconds kCrashOnsetTime(500);
+
 /** Clients give up a silent stream after the longest of this time, four times
  * the goal and eight times the gap goal. */
 constexpr Milliseconds kClientGiveUpTime(2000);
@@ -102,6 +106,9 @@
       this->core.CountUsage(this->customer->name, now);
     }
   }
+  if (now - this->first_event_at >= kCrashOnsetTime) {
+    this->ExonerateParts(now);
+  }
   this->SendStreamHead();
   this->SendChunk(whole);
   if (this->client->PendingBytes() > kMaxClientPendingBytes) {
@@ -118,6 +125,8 @@
 void Exchange::OnFirstEvent(TimePoint now) {
   this->attempt->first_event = true;
   this->EndPrefill();
+  this->core.crash_attribution.RecordFirstEvent(
+      serving::HashName(this->service_name), now);
   const bool reads_prompt =
       !this->attempt->resumes && this->choice_inputs.copy_from.empty();
   const bool near =
@@ -128,6 +137,15 @@
   }
 }
 
+void Exchange::ExonerateParts(TimePoint now) {
+  if (this->parts_exonerated) {
+    return;
+  }
+  this->parts_exonerated = true;
+  this->core.LogUnblocked(this->core.crash_attribution.RecordSuccess(
+      serving::HashName(this->service_name), this->shared_parts, now));
+}
+
 void Exchange::SendStreamHead() {
   if (this->answer_started) {
     return;
@@ -190,6 +208,7 @@
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
   this->core.suspects.ClearCrashes(this->fingerprint);
+  this->ExonerateParts(BootClock::now());
   this->SendStreamHead();
   this->client->Send("0\r\n\r\n");
   this->Finish("served", this->attempt->facts->status);
@@ -211,6 +230,9 @@
     return;
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
+  if (facts.status / 100 == 2) {
+    this->ExonerateParts(BootClock::now());
+  }
   this->ForwardBuffered();
 }
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -102,7 +102,7 @@
   }
   this->config = this->core.config;
   if (this->CancelIfClientGone() || !this->CheckRequest() ||
-      !this->CheckPlannedStop() || !this->Admit()) {
+      !this->CheckPlannedStop() || !this->CheckCrashes() || !this->Admit()) {
     return;
   }
   if (!this->TryServer(false)) {
@@ -191,14 +191,33 @@
   return std::min(deadline, this->core.shutdown_at.value_or(deadline));
 }
 
-bool Exchange::Admit() {
+bool Exchange::CheckCrashes() {
   this->fingerprint = serving::RequestFingerprint(
       this->customer == nullptr ? "" : this->customer->name,
       this->request.target, *this->body);
-  if (this->core.suspects.IsBlocked(this->fingerprint)) {
-    this->Refuse(503, std::nullopt, "crashes_servers");
-    return false;
+  this->shared_parts = serving::SharedPartIds(this->request.facts);
+  if (!this->CrashesServers(this->arrived)) {
+    return true;
   }
+  const auto wait = this->PartsBlockedFor(this->arrived);
+  this->Refuse(503,
+               wait ? std::optional(std::chrono::ceil<Milliseconds>(*wait))
+                    : std::nullopt,
+               "crashes_servers");
+  return false;
+}
+
+std::optional<Duration> Exchange::PartsBlockedFor(TimePoint now) const {
+  return this->core.crash_attribution.BlockedFor(
+      serving::HashName(this->service_name), this->shared_parts, now);
+}
+
+bool Exchange::CrashesServers(TimePoint now) const {
+  return this->core.suspects.IsBlocked(this->fingerprint) ||
+         this->PartsBlockedFor(now);
+}
+
+bool Exchange::Admit() {
   if (this->customer != nullptr) {
     const double cost =
         serving::QuotaCost(*this->customer, this->request.facts);
@@ -401,10 +420,14 @@
   if (!paused) {
     this->core.pool.RecordFailure(*server, failure, now);
   }
-  if (failure == AttemptFailure::kConnectionLost && !this->usage_counted) {
+  const bool broken = failure == AttemptFailure::kConnectionLost ||
+                      failure == AttemptFailure::kTimedOut;
+  // What a server cuts off at its announced end is no sign of a crash.
+  if (broken && !this->parts_exonerated &&
+      !this->core.pool.IsStopping(*server)) {
     this->core.pool.RecordBrokenRequest(
-        *server, {now, this->fingerprint, this->request.facts.attempt_id,
-                  serving::SharedPartIds(this->request.facts)});
+        server, {now, this->fingerprint, this->request.facts.attempt_id,
+                 this->shared_parts});
   }
   this->core.log.Write(
       EventLevel::kWarning, "attempt_failed",
@@ -445,7 +468,7 @@
     }
     std::optional<Attempt> failed = std::exchange(this->attempt, std::nullopt);
     const std::string body_of_failed = this->buffered;
-    const bool resent = !this->core.suspects.IsBlocked(this->fingerprint) &&
+    const bool resent = !this->CrashesServers(now) &&
                         this->TryServer(this->sends > 0 && !unreached);
     std::optional<Attempt> next =
         std::exchange(this->attempt, std::move(failed));
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -57,6 +57,9 @@
   /** The client closed its connection: cancels the request at the server. */
   void OnClientDisconnected();
 
+  /** Ends the request if it would crash its server and has no event yet. */
+  void AbandonIfBlocked();
+
   /** Applies timeouts, and moves the request away from a stopping server. */
   void CheckTime(TimePoint now);
 
@@ -91,7 +94,7 @@
     bool resumes = false;      ///< Continues a stream; little of the prompt is
                                ///< read.
     bool has_content_length = false;  ///< The response has this field.
-    uint32_t prefill_tokens = 0;      ///< Still counted as load of the server.
+    uint32_t prefill_tokens = 0;  ///< Still counted as load of the server.
     std::optional<serving::ResponseFacts> facts;
   };
 
@@ -114,6 +117,14 @@
    * socket. */
   bool CancelIfClientGone();
   bool CheckRequest();
+  /** Refuses a request that crashes the servers that run it. */
+  bool CheckCrashes();
+  /** Time until the parts of the prompt may be sent again; empty if now. */
+  std::optional<Duration> PartsBlockedFor(TimePoint now) const;
+  /** Whether the request or a part of its prompt crashes servers. */
+  bool CrashesServers(TimePoint now) const;
+  /** Records that a server has run the request without a crash. */
+  void ExonerateParts(TimePoint now);
   /** Refuses a request that would not be finished before the planned stop. */
   bool CheckPlannedStop();
   /** The earlier of the route's and the client's deadline. */
@@ -173,6 +184,8 @@
   const serving::Service* service = nullptr;
   std::string service_name;
   uint64_t fingerprint = 0;
+  std::vector<uint64_t> shared_parts;  ///< Ids, in the order of the prompt.
+  bool parts_exonerated = false;       ///< See ExonerateParts().
   double quota_cost = 0;
   TimePoint arrived;
   TimePoint route_deadline;
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -5,6 +5,8 @@
 #include "relay/server_pool_base.h"
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 namespace boragewharf::relay {
@@ -49,6 +51,9 @@
  * heartbeats. */
 constexpr std::chrono::seconds kCrashConfirmTime(5);
 
+/** Timeout of the connection that probes for a crash; several round trips. */
+constexpr std::chrono::milliseconds kCrashProbeTimeout(400);
+
 /** Maximum number of broken requests kept per server; more than its slots. */
 constexpr size_t kMaxBrokenRequests = 256;
 
@@ -308,19 +313,57 @@
   }
 }
 
-void ServerPool::RecordBrokenRequest(PooledServer& pooled,
-                                     BrokenRequest request) {
-  pooled.broken_requests.push_back(std::move(request));
-  if (pooled.broken_requests.size() > kMaxBrokenRequests) {
-    pooled.broken_requests.pop_front();
+void ServerPool::RecordBrokenRequest(
+    const std::shared_ptr<PooledServer>& pooled,
+    BrokenRequest request) {
+  pooled->broken_requests.push_back(std::move(request));
+  if (pooled->broken_requests.size() > kMaxBrokenRequests) {
+    pooled->broken_requests.pop_front();
+  }
+  this->ProbeForCrash(pooled);
+}
+
+void ServerPool::ProbeForCrash(const std::shared_ptr<PooledServer>& pooled) {
+  if (pooled->crash_probe_pending ||
+      BootClock::now() < pooled->no_requests_until) {
+    return;
   }
+  struct Probe {
+    explicit Probe(boost::asio::io_context& event_loop)
+        : socket(event_loop), timer(event_loop) {}
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+  };
+  pooled->crash_probe_pending = true;
+  const auto probe = std::make_shared<Probe>(this->loop);
+  probe->timer.expires_after(kCrashProbeTimeout);
+  probe->timer.async_wait([probe](const boost::system::error_code& error) {
+    if (!error) {
+      boost::system::error_code ignored;
+      probe->socket.close(ignored);
+    }
+  });
+  const Endpoint& address = pooled->server.address;
+  probe->socket.async_connect(
+      {boost::asio::ip::make_address(address.host), address.port},
+      [this, probe, pooled](const boost::system::error_code& error) {
+        probe->timer.cancel();
+        pooled->crash_probe_pending = false;
+        if (error == boost::asio::error::connection_refused ||
+            error == boost::asio::error::connection_reset) {
+          const TimePoint now = BootClock::now();
+          this->ConfirmCrash(*pooled, now);
+          pooled->avoid_until = now + kUnreachableAvoidTime;
+        }
+      });
 }
 
 void ServerPool::ConfirmCrash(PooledServer& pooled, TimePoint now) {
   for (BrokenRequest& request : pooled.broken_requests) {
     if (now - request.broken_at < kCrashConfirmTime) {
-      this->crash_suspects.push_back(
-          {pooled.server.id, pooled.server.service, std::move(request)});
+      this->crash_suspects.push_back({pooled.server.id, pooled.server.started,
+                                      pooled.server.service,
+                                      std::move(request)});
     }
   }
   pooled.broken_requests.clear();
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -39,6 +39,17 @@
 /** Period over which the demand is measured. */
 constexpr std::chrono::milliseconds kDemandPeriod(500);
 
+/** Message periods for which evidence against a prompt part is left open to
+ * other nodes: messages to other regions go out each second period. */
+constexpr int kSettlePeriods = 2;
+
+/** Interval between evaluations of the evidence against prompt parts. */
+constexpr std::chrono::milliseconds kCrashEvaluationPeriod(200);
+
+/** Upper bound of that time. A part has to be blocked on all nodes before the
+ * contact time after its fifth crash, which also takes two messages. */
+constexpr std::chrono::milliseconds kMaxSettleTime(1000);
+
 /** Ids as decimal numbers, separated by commas, for log lines. */
 std::string JoinIds(const std::vector<uint64_t>& ids) {
   std::string text;
@@ -204,6 +215,19 @@
   this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
   this->pool.UpdatePeerPrefixes(summary.prefixes, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
+  this->crash_settle_time = std::min<Duration>(
+      kSettlePeriods * summary.message_period, kMaxSettleTime);
+  for (const serving::CrashEvidence& evidence : summary.crash_evidence) {
+    const TimePoint now = BootClock::now();
+    const auto changes = this->crash_attribution.Merge(evidence, now);
+    for (const serving::BlockedPart& blocked : changes.blocked) {
+      this->log.Write(EventLevel::kWarning, "prompt_part_block_adopted",
+                      {{"part", blocked.key.part},
+                       {"times", blocked.times},
+                       {"age_ms", blocked.age_ms}});
+    }
+    this->LogUnblocked(changes.unblocked);
+  }
   this->prefill_speeds = summary.prefill_speeds;
   bool any_leaves = false;
   for (const serving::LeavingServer& announced : summary.leaving) {
@@ -300,6 +324,7 @@
     }
   }
   report.crashes = this->suspects.Report(now);
+  report.crash_evidence = this->crash_attribution.Report(now);
   report.prefixes.assign(this->pool.OwnPrefixes().begin(),
                          this->pool.OwnPrefixes().end());
   report.quota_levels = this->quotas.Levels(now);
@@ -325,12 +350,22 @@
   this->pool.CheckTime(now);
   this->CheckLeavingServers(now);
   this->CountCrashes(now);
+  if (now >= this->next_crash_evaluation) {
+    this->next_crash_evaluation = now + kCrashEvaluationPeriod;
+    this->BlockCrashingParts(now);
+  }
 }
 
 void TrafficCore::CountCrashes(TimePoint now) {
   for (const CrashSuspect& suspect : this->pool.TakeCrashSuspects()) {
     const BrokenRequest& request = suspect.request;
     this->suspects.CountCrash(request.fingerprint, now);
+    this->crash_attribution.RecordCrash(
+        {serving::CrashIdentifier(suspect.server_id, suspect.server_started),
+         static_cast<uint32_t>(request.fingerprint),
+         serving::HashName(suspect.service), request.shared_parts, 0,
+         request.broken_at},
+        now);
     this->log.Write(
         EventLevel::kWarning, "crash_suspect",
         {{"id", request.attempt_id},
@@ -343,6 +378,41 @@
   }
 }
 
+void TrafficCore::BlockCrashingParts(TimePoint now) {
+  const auto verdicts =
+      this->crash_attribution.Evaluate(this->crash_settle_time, now);
+  for (const serving::PartVerdict& verdict : verdicts) {
+    this->log.Write(EventLevel::kWarning, "prompt_part_blocked",
+                    {{"part", verdict.blocked.key.part},
+                     {"times", verdict.blocked.times},
+                     {"crashes", verdict.crashes},
+                     {"requests", verdict.requests},
+                     {"answered_before", verdict.answered_before}});
+    this->counters.Get("prompt_parts_blocked_total").Add();
+  }
+  if (!verdicts.empty()) {
+    this->AbandonBlockedRequests();
+  }
+}
+
+void TrafficCore::LogUnblocked(const std::vector<serving::PartKey>& parts) {
+  for (const serving::PartKey& key : parts) {
+    this->log.Write(EventLevel::kInfo, "prompt_part_unblocked",
+                    {{"part", key.part}});
+  }
+}
+
+void TrafficCore::AbandonBlockedRequests() {
+  std::vector<std::shared_ptr<Exchange>> all;
+  all.reserve(this->exchanges.size());
+  for (const auto& [connection, exchange] : this->exchanges) {
+    all.push_back(exchange);
+  }
+  for (const auto& exchange : all) {
+    exchange->AbandonIfBlocked();
+  }
+}
+
 void TrafficCore::OnRequest(
     const std::shared_ptr<httpio::ServerConnection>& connection,
     httpio::InboundRequest request) {
--- /dev/null
+++ b/packages/serving/include/serving/crash_attribution_base.h
@@ -0,0 +1,148 @@
+/**
+ * @file crash_attribution_base.h
+ * Finds the parts of prompts that crash the servers that run them.
+ */
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "base/time_type.h"
+#include "serving/crash_evidence_type.h"
+
+namespace boragewharf::serving {
+
+/** Time of the last response by part. Bounded: parts that were not used for
+ * long are forgotten. Not thread-safe. */
+class PartSuccessTable {
+ public:
+  /** Records a response; an earlier time than the known one has no effect. */
+  void Record(const PartKey& key, TimePoint at);
+
+  /** Time of the last response, or empty if none is known. */
+  std::optional<TimePoint> Last(const PartKey& key) const;
+
+ private:
+  /** Parts since the last change of generation, and those of the one before. */
+  std::map<PartKey, TimePoint> recent;
+  std::map<PartKey, TimePoint> previous;
+};
+
+/** A part that was found to crash servers, with what decided. */
+struct PartVerdict {
+  BlockedPart blocked;
+  size_t crashes = 0;   ///< Since the last response to a request with it.
+  size_t requests = 0;  ///< Distinct requests in these crashes.
+  bool answered_before = false;  ///< A request with it was answered once.
+};
+
+/** Parts that are blocked, or no longer blocked, since a call. */
+struct BlockChanges {
+  std::vector<BlockedPart> blocked;
+  std::vector<PartKey> unblocked;
+};
+
+/**
+ * Attributes crashes of servers to parts of prompts. The requests that a server
+ * ran when it crashed are all suspect. What exonerates a part is a response to
+ * any request with it; what convicts it is that servers crash under different
+ * requests with it while requests without it are answered. A crash that one
+ * part explains is no evidence against the others that were running.
+ *
+ * The evidence and the verdicts of all nodes are merged, so that nodes which
+ * have not met a part know it, also after a restart. A verdict expires; the
+ * first crash after that renews it for twice as long.
+ *
+ * Pure state, without any I/O. Not thread-safe.
+ */
+class CrashAttribution {
+ public:
+  /** Records a request that ran on a server when this crashed.
+   * @param now When the crash became known. */
+  void RecordCrash(CrashedRequest request, TimePoint now);
+
+  /** Records that a server began to respond to a request of the service. */
+  void RecordFirstEvent(NameHash service, TimePoint now);
+
+  /** Records that a server responded to a request with these parts and did not
+   * crash.
+   * @return Parts that are no longer blocked. */
+  std::vector<PartKey> RecordSuccess(NameHash service,
+                                     std::span<const uint64_t> parts,
+                                     TimePoint now);
+
+  /** Merges the evidence of other nodes, with its local times set. */
+  BlockChanges Merge(const CrashEvidence& evidence, TimePoint now);
+
+  /**
+   * Blocks the parts that explain the crashes.
+   * @param settle_time How long evidence has to be known, so that other nodes
+   *     can report responses.
+   */
+  std::vector<PartVerdict> Evaluate(Duration settle_time, TimePoint now);
+
+  /** Time until a request with these parts may be sent again; empty if it may
+   * be sent now. */
+  std::optional<Duration> BlockedFor(NameHash service,
+                                     std::span<const uint64_t> parts,
+                                     TimePoint now) const;
+
+  /** Evidence for the other nodes, with local times. */
+  CrashEvidence Report(TimePoint now) const;
+
+ private:
+  /** A request of a crash. */
+  struct Exposure {
+    uint32_t request = 0;
+    NameHash service = 0;
+    std::vector<uint64_t> parts;
+  };
+
+  struct Crash {
+    TimePoint at;
+    TimePoint known_at;
+    std::vector<Exposure> exposures;
+  };
+
+  struct Block {
+    TimePoint since;
+    uint32_t times = 0;
+  };
+
+  /** Crashes that speak against a part. */
+  struct Candidate;
+
+  static Duration BlockTime(uint32_t times);
+  bool IsBlocked(const PartKey& key, TimePoint now) const;
+  bool IsExplained(const Crash& crash) const;
+  std::map<PartKey, Candidate> Candidates(TimePoint now) const;
+  /** Number of unexplained crashes by part, whatever was answered since. */
+  std::map<PartKey, size_t> CrashCounts() const;
+  std::vector<CrashedRequest> ReportedCrashes(TimePoint now) const;
+  std::vector<PartSuccess> ReportedSuccesses() const;
+  bool IsConvicted(const PartKey& key,
+                   const Candidate& candidate,
+                   Duration settle_time,
+                   TimePoint now) const;
+  /** Whether requests without the part were answered after @p since. */
+  bool OthersAreAnswered(NameHash service, TimePoint since) const;
+  void Exonerate(const PartKey& key,
+                 TimePoint at,
+                 std::vector<PartKey>& unblocked);
+  void AddCrash(const CrashedRequest& request, TimePoint now);
+  void Expire(TimePoint now);
+
+  std::map<uint32_t, Crash> crashes;  ///< By identifier.
+  PartSuccessTable successes;
+  std::map<PartKey, Block> blocks;
+  /** Time of the response that ended a block, until all nodes know it. */
+  std::map<PartKey, TimePoint> ended_blocks;
+  /** Times of the last first events of each service, oldest first. */
+  std::map<NameHash, std::deque<TimePoint>> first_events;
+};
+
+}  // namespace boragewharf::serving
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -11,14 +11,11 @@
 #include <vector>
 
 #include "base/time_type.h"
+#include "serving/crash_evidence_type.h"
 #include "serving/prefill_speed_base.h"
 
 namespace boragewharf::serving {
 
-/** Short identifier of a name in messages. A collision merely adds up the loads
- * of two names. */
-using NameHash = uint32_t;
-
 /** Hash of a customer, service or server name. @note Thread-safe. */
 NameHash HashName(std::string_view name);
 
@@ -93,6 +90,7 @@
   std::vector<LeavingServer> leaving;          ///< Sent in PeerMessageTail.
   /** By service; sent in PeerMessageTail. */
   std::map<NameHash, PrefillSpeed> prefill_speeds;
+  CrashEvidence crash_evidence;  ///< Sent after PeerMessageTail.
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -148,8 +146,8 @@
   }
 };
 
-/** Encoded after a PeerMessage. Earlier versions ignore it; a message without
- * it leaves the defaults. Fields may only be added at the end. */
+/** Encoded after a PeerMessage, before its CrashEvidence. Earlier versions
+ * ignore what they don't know; a message without it leaves the defaults. */
 struct PeerMessageTail {
   std::vector<LeavingServer> leaving;
   std::map<NameHash, PrefillSpeed> prefill_speeds;
@@ -185,6 +183,9 @@
   /** Prompt tokens per millisecond of a server, by service, as all nodes have
    * measured it. */
   std::map<NameHash, double> prefill_speeds;
+  /** Of all other nodes, with times of the local boot clock. */
+  std::vector<CrashEvidence> crash_evidence;
+  Duration message_period{};  ///< Time between two messages of a node.
 };
 
 }  // namespace boragewharf::serving
--- /dev/null
+++ b/packages/serving/src/crash_attribution_base.cc
@@ -0,0 +1,487 @@
+/**
+ * @file crash_attribution_base.cc
+ * Evidence against prompt parts, and the verdicts on them.
+ */
+#include "serving/crash_attribution_base.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace boragewharf::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Crashes that convict a part with which no request was ever answered. Less
+ * than five, since a part has to be known everywhere soon after its fifth. */
+constexpr size_t kCrashesOfUnknownPart = 3;
+
+/** The same for a part with which requests were answered before. */
+constexpr size_t kCrashesOfKnownPart = 4;
+
+/** Least time between the first and the last crash of a part with which
+ * requests were answered before; many servers may be lost at one moment. */
+constexpr milliseconds kMinCrashSpan(500);
+
+/** Distinct requests with the part in its crashes. A single request that
+ * crashes servers is no evidence against the parts that it shares. */
+constexpr size_t kMinRequests = 2;
+
+/** Responses to other requests of the service since the first crash that are
+ * needed for a verdict. If nothing is answered, the part is not the cause. */
+constexpr size_t kMinOtherResponses = 3;
+
+/** Time for which a part is blocked at first, and at most. */
+constexpr std::chrono::minutes kFirstBlockTime(2);
+constexpr std::chrono::minutes kMaxBlockTime(60);
+
+/** Time for which crashes are remembered; parts that are used rarely need
+ * minutes for a verdict. */
+constexpr std::chrono::minutes kEvidenceLifetime(10);
+
+/** Bounds of what is kept. */
+constexpr size_t kMaxCrashes = 128;
+constexpr size_t kMaxExposures = 64;
+constexpr size_t kMaxParts = 8;
+constexpr size_t kMaxBlocks = 256;
+constexpr size_t kMaxPartsPerGeneration = 4096;
+
+/** Time for which each crash is told to the other nodes; several message
+ * periods. */
+constexpr std::chrono::seconds kReportTime(10);
+
+/** The same for the end of a block, which matters to nodes that were cut off.
+ */
+constexpr std::chrono::minutes kEndedBlockReportTime(1);
+
+/** Bounds of a report, because datagrams are limited. */
+constexpr size_t kMaxReportedCrashes = 8;
+constexpr size_t kMaxReportedSuccesses = 12;
+constexpr size_t kMaxReportedBlocks = 16;
+
+/** Crashes of a part from which on responses to requests with it are told. */
+constexpr size_t kMinCrashesToTell = 2;
+
+uint32_t AgeMs(TimePoint at, TimePoint now) {
+  return static_cast<uint32_t>(std::max<int64_t>(
+      0, std::chrono::duration_cast<milliseconds>(now - at).count()));
+}
+
+}  // namespace
+
+void SetAges(CrashEvidence& evidence, TimePoint now) {
+  for (CrashedRequest& crash : evidence.crashes) {
+    crash.age_ms = AgeMs(crash.crashed_at, now);
+  }
+  for (PartSuccess& success : evidence.successes) {
+    success.age_ms = AgeMs(success.answered_at, now);
+  }
+  for (BlockedPart& blocked : evidence.blocked) {
+    blocked.age_ms = AgeMs(blocked.blocked_at, now);
+  }
+}
+
+void SetTimes(CrashEvidence& evidence, TimePoint now) {
+  for (CrashedRequest& crash : evidence.crashes) {
+    crash.crashed_at = now - milliseconds(crash.age_ms);
+  }
+  for (PartSuccess& success : evidence.successes) {
+    success.answered_at = now - milliseconds(success.age_ms);
+  }
+  for (BlockedPart& blocked : evidence.blocked) {
+    blocked.blocked_at = now - milliseconds(blocked.age_ms);
+  }
+}
+
+uint32_t CrashIdentifier(std::string_view server, uint64_t started) {
+  return static_cast<uint32_t>(XXH64(server.data(), server.size(), started));
+}
+
+void PartSuccessTable::Record(const PartKey& key, TimePoint at) {
+  TimePoint& last = this->recent[key];
+  last = std::max(last, at);
+  if (this->recent.size() >= kMaxPartsPerGeneration) {
+    this->previous = std::exchange(this->recent, {});
+  }
+}
+
+std::optional<TimePoint> PartSuccessTable::Last(const PartKey& key) const {
+  for (const auto* generation : {&this->recent, &this->previous}) {
+    const auto found = generation->find(key);
+    if (found != generation->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
+}
+
+struct CrashAttribution::Candidate {
+  /** When each crash became known, and its time. */
+  std::vector<std::pair<TimePoint, TimePoint>> crashes;
+  std::set<uint32_t> requests;
+  size_t position = 0;  ///< In the prompt; later parts are more specific.
+  bool answered_before = false;
+};
+
+Duration CrashAttribution::BlockTime(uint32_t times) {
+  Duration time = kFirstBlockTime;
+  for (uint32_t i = 1; i < times && time < kMaxBlockTime; ++i) {
+    time *= 2;
+  }
+  return std::min<Duration>(time, kMaxBlockTime);
+}
+
+bool CrashAttribution::IsBlocked(const PartKey& key, TimePoint now) const {
+  const auto found = this->blocks.find(key);
+  return found != this->blocks.end() &&
+         now - found->second.since < BlockTime(found->second.times);
+}
+
+void CrashAttribution::RecordCrash(CrashedRequest request, TimePoint now) {
+  this->Expire(now);
+  this->AddCrash(request, now);
+}
+
+void CrashAttribution::AddCrash(const CrashedRequest& request, TimePoint now) {
+  if (request.parts.empty() || now - request.crashed_at > kEvidenceLifetime) {
+    return;
+  }
+  // The last parts are the most specific ones.
+  const size_t count = std::min(request.parts.size(), kMaxParts);
+  if (this->crashes.size() >= kMaxCrashes &&
+      !this->crashes.contains(request.crash)) {
+    const auto oldest = std::min_element(
+        this->crashes.begin(), this->crashes.end(),
+        [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+    this->crashes.erase(oldest);
+  }
+  const auto [entry, is_new] = this->crashes.try_emplace(request.crash);
+  Crash& crash = entry->second;
+  if (is_new) {
+    crash.at = request.crashed_at;
+    crash.known_at = now;
+  }
+  const bool known =
+      std::ranges::any_of(crash.exposures, [&](const Exposure& exposure) {
+        return exposure.request == request.request;
+      });
+  if (!known && crash.exposures.size() < kMaxExposures) {
+    crash.exposures.push_back(
+        {request.request,
+         request.service,
+         {request.parts.end() - static_cast<std::ptrdiff_t>(count),
+          request.parts.end()}});
+  }
+}
+
+void CrashAttribution::RecordFirstEvent(NameHash service, TimePoint now) {
+  std::deque<TimePoint>& times = this->first_events[service];
+  times.push_back(now);
+  if (times.size() > kMinOtherResponses) {
+    times.pop_front();
+  }
+}
+
+bool CrashAttribution::OthersAreAnswered(NameHash service,
+                                         TimePoint since) const {
+  const auto found = this->first_events.find(service);
+  return found != this->first_events.end() &&
+         found->second.size() >= kMinOtherResponses &&
+         found->second.front() > since;
+}
+
+void CrashAttribution::Exonerate(const PartKey& key,
+                                 TimePoint at,
+                                 std::vector<PartKey>& unblocked) {
+  this->successes.Record(key, at);
+  const auto block = this->blocks.find(key);
+  if (block != this->blocks.end() && block->second.since < at) {
+    unblocked.push_back(key);
+    this->blocks.erase(block);
+    this->ended_blocks[key] = at;
+  }
+}
+
+std::vector<PartKey> CrashAttribution::RecordSuccess(
+    NameHash service,
+    std::span<const uint64_t> parts,
+    TimePoint now) {
+  std::vector<PartKey> unblocked;
+  for (const uint64_t part : parts) {
+    this->Exonerate({service, part}, now, unblocked);
+  }
+  return unblocked;
+}
+
+BlockChanges CrashAttribution::Merge(const CrashEvidence& evidence,
+                                     TimePoint now) {
+  this->Expire(now);
+  for (const CrashedRequest& request : evidence.crashes) {
+    this->AddCrash(request, now);
+  }
+  BlockChanges changes;
+  for (const PartSuccess& success : evidence.successes) {
+    this->Exonerate(success.key, success.answered_at, changes.unblocked);
+  }
+  for (const BlockedPart& blocked : evidence.blocked) {
+    const auto known = this->blocks.find(blocked.key);
+    // A known block is not renewed; nodes would renew each other's forever.
+    if (known != this->blocks.end() && known->second.times >= blocked.times) {
+      continue;
+    }
+    const auto answered = this->successes.Last(blocked.key);
+    if ((answered && *answered > blocked.blocked_at) ||
+        (known == this->blocks.end() && this->blocks.size() >= kMaxBlocks)) {
+      continue;
+    }
+    this->blocks[blocked.key] = {blocked.blocked_at, blocked.times};
+    changes.blocked.push_back(blocked);
+  }
+  return changes;
+}
+
+bool CrashAttribution::IsExplained(const Crash& crash) const {
+  return std::ranges::any_of(crash.exposures, [&](const Exposure& exposure) {
+    return std::ranges::any_of(exposure.parts, [&](uint64_t part) {
+      return this->blocks.contains({exposure.service, part});
+    });
+  });
+}
+
+std::map<PartKey, CrashAttribution::Candidate> CrashAttribution::Candidates(
+    TimePoint now) const {
+  std::map<PartKey, Candidate> candidates;
+  for (const auto& [identifier, crash] : this->crashes) {
+    const bool explained = this->IsExplained(crash);
+    std::set<PartKey> counted;
+    for (const Exposure& exposure : crash.exposures) {
+      for (size_t i = 0; i < exposure.parts.size(); ++i) {
+        const PartKey key{exposure.service, exposure.parts[i]};
+        const auto answered = this->successes.Last(key);
+        if (answered && *answered >= crash.at) {
+          continue;
+        }
+        // Only a part whose block has expired is judged by explained crashes.
+        const auto block = this->blocks.find(key);
+        const bool expired =
+            block != this->blocks.end() && !this->IsBlocked(key, now) &&
+            crash.at >= block->second.since + BlockTime(block->second.times);
+        if ((explained || block != this->blocks.end()) && !expired) {
+          continue;
+        }
+        Candidate& candidate = candidates[key];
+        if (counted.insert(key).second) {
+          candidate.crashes.emplace_back(crash.known_at, crash.at);
+        }
+        candidate.requests.insert(exposure.request);
+        candidate.position = std::max(candidate.position, i);
+        candidate.answered_before = answered.has_value();
+      }
+    }
+  }
+  return candidates;
+}
+
+bool CrashAttribution::IsConvicted(const PartKey& key,
+                                   const Candidate& candidate,
+                                   Duration settle_time,
+                                   TimePoint now) const {
+  if (this->blocks.contains(key)) {
+    return true;  // A single crash renews an expired verdict.
+  }
+  const size_t needed =
+      candidate.answered_before ? kCrashesOfKnownPart : kCrashesOfUnknownPart;
+  if (candidate.crashes.size() < needed ||
+      candidate.requests.size() < kMinRequests) {
+    return false;
+  }
+  auto by_knowledge = candidate.crashes;
+  std::ranges::sort(by_knowledge);
+  if (now - by_knowledge[needed - 1].first < settle_time) {
+    return false;
+  }
+  const auto by_time = [](const auto& a, const auto& b) {
+    return a.second < b.second;
+  };
+  const auto [first, last] = std::ranges::minmax(candidate.crashes, by_time);
+  if (candidate.answered_before && last.second - first.second < kMinCrashSpan) {
+    return false;
+  }
+  return this->OthersAreAnswered(key.service, first.second);
+}
+
+std::vector<PartVerdict> CrashAttribution::Evaluate(Duration settle_time,
+                                                    TimePoint now) {
+  this->Expire(now);
+  if (this->crashes.empty()) {
+    return {};
+  }
+  std::vector<PartVerdict> verdicts;
+  while (this->blocks.size() < kMaxBlocks) {
+    const auto candidates = this->Candidates(now);
+    const std::pair<const PartKey, Candidate>* worst = nullptr;
+    // The part that explains most; among equals the most specific one.
+    const auto rank = [](const Candidate& candidate) {
+      return std::tuple(!candidate.answered_before, candidate.crashes.size(),
+                        candidate.position);
+    };
+    for (const auto& entry : candidates) {
+      if (this->IsConvicted(entry.first, entry.second, settle_time, now) &&
+          (worst == nullptr || rank(entry.second) > rank(worst->second))) {
+        worst = &entry;
+      }
+    }
+    if (worst == nullptr) {
+      break;
+    }
+    const auto& [key, candidate] = *worst;
+    Block& block = this->blocks[key];
+    block.since = now;
+    block.times += 1;
+    verdicts.push_back({{key, block.times, 0, now},
+                        candidate.crashes.size(),
+                        candidate.requests.size(),
+                        candidate.answered_before});
+  }
+  return verdicts;
+}
+
+std::optional<Duration> CrashAttribution::BlockedFor(
+    NameHash service,
+    std::span<const uint64_t> parts,
+    TimePoint now) const {
+  std::optional<Duration> longest;
+  if (this->blocks.empty()) {
+    return longest;
+  }
+  for (const uint64_t part : parts) {
+    const PartKey key{service, part};
+    if (!this->IsBlocked(key, now)) {
+      continue;
+    }
+    const Block& block = this->blocks.at(key);
+    const Duration left = block.since + BlockTime(block.times) - now;
+    longest = std::max(longest.value_or(left), left);
+  }
+  return longest;
+}
+
+CrashEvidence CrashAttribution::Report(TimePoint now) const {
+  CrashEvidence evidence;
+  for (const auto& [key, block] : this->blocks) {
+    if (this->IsBlocked(key, now) &&
+        evidence.blocked.size() < kMaxReportedBlocks) {
+      evidence.blocked.push_back({key, block.times, 0, block.since});
+    }
+  }
+  for (const auto& [key, answered] : this->ended_blocks) {
+    if (evidence.successes.size() < kMaxReportedSuccesses) {
+      evidence.successes.push_back({key, 0, answered});
+    }
+  }
+  if (!this->crashes.empty()) {
+    evidence.crashes = this->ReportedCrashes(now);
+    std::ranges::copy(this->ReportedSuccesses(),
+                      std::back_inserter(evidence.successes));
+  }
+  return evidence;
+}
+
+std::vector<CrashedRequest> CrashAttribution::ReportedCrashes(
+    TimePoint now) const {
+  // By the number of crashes that speak against the worst part, so that the
+  // parts nearest to a verdict are told first.
+  const auto candidates = this->Candidates(now);
+  std::vector<std::pair<size_t, CrashedRequest>> ranked;
+  for (const auto& [identifier, crash] : this->crashes) {
+    if (now - crash.at > kReportTime) {
+      continue;
+    }
+    for (const Exposure& exposure : crash.exposures) {
+      size_t worst = 0;
+      for (const uint64_t part : exposure.parts) {
+        const auto found = candidates.find({exposure.service, part});
+        if (found != candidates.end()) {
+          worst = std::max(worst, found->second.crashes.size());
+        }
+      }
+      if (worst > 0) {
+        ranked.emplace_back(worst, CrashedRequest{identifier, exposure.request,
+                                                  exposure.service,
+                                                  exposure.parts, 0, crash.at});
+      }
+    }
+  }
+  std::ranges::stable_sort(ranked, [](const auto& a, const auto& b) {
+    return std::tuple(a.first, a.second.crashed_at) >
+           std::tuple(b.first, b.second.crashed_at);
+  });
+  std::vector<CrashedRequest> reported;
+  for (auto& [worst, request] : ranked) {
+    if (reported.size() >= kMaxReportedCrashes) {
+      break;
+    }
+    reported.push_back(std::move(request));
+  }
+  return reported;
+}
+
+std::map<PartKey, size_t> CrashAttribution::CrashCounts() const {
+  std::map<PartKey, size_t> counts;
+  for (const auto& [identifier, crash] : this->crashes) {
+    if (this->IsExplained(crash)) {
+      continue;
+    }
+    std::set<PartKey> parts;
+    for (const Exposure& exposure : crash.exposures) {
+      for (const uint64_t part : exposure.parts) {
+        parts.insert({exposure.service, part});
+      }
+    }
+    for (const PartKey& key : parts) {
+      counts[key] += 1;
+    }
+  }
+  return counts;
+}
+
+std::vector<PartSuccess> CrashAttribution::ReportedSuccesses() const {
+  std::vector<std::pair<size_t, PartSuccess>> ranked;
+  for (const auto& [key, count] : this->CrashCounts()) {
+    const auto answered = this->successes.Last(key);
+    if (answered && count >= kMinCrashesToTell) {
+      ranked.emplace_back(count, PartSuccess{key, 0, *answered});
+    }
+  }
+  std::ranges::stable_sort(
+      ranked, [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<PartSuccess> reported;
+  for (const auto& [count, success] : ranked) {
+    if (reported.size() >= kMaxReportedSuccesses) {
+      break;
+    }
+    reported.push_back(success);
+  }
+  return reported;
+}
+
+void CrashAttribution::Expire(TimePoint now) {
+  std::erase_if(this->crashes, [&](const auto& entry) {
+    return now - entry.second.at > kEvidenceLifetime;
+  });
+  std::erase_if(this->ended_blocks, [&](const auto& entry) {
+    return now - entry.second > kEndedBlockReportTime;
+  });
+  // A verdict that has expired is remembered for as long again.
+  std::erase_if(this->blocks, [&](const auto& entry) {
+    return now - entry.second.since > 2 * BlockTime(entry.second.times);
+  });
+}
+
+}  // namespace boragewharf::serving
