Keep blocked prompt parts across a restart of all nodes

Cause: blocks are told between nodes, so that all of them are lost when all nodes are killed at once; the part then crashes servers until it is found again. Change: the holder saves the blocks with the quota levels; nodes that start, or gain the duties, merge them. Saves of earlier builds are read as before. PeerCodecTest: with the evidence at the end of a message two lengths are complete messages, those of the two earlier versions; the test demands both, and no other. Measured: BlockedPartsOutlastARestartOfAllNodes and the codec tests pass (fleet, node, adapter); the save had no such field before.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -144,6 +144,8 @@
   int64_t saved_wall_ms = 0;
   /** This node's wall clock when the progress was read. */
   int64_t clock_wall_ms = 0;
+  /** Parts of prompts that crash servers; ages as of the save. */
+  std::vector<serving::BlockedPart> blocked_parts = {};
 };
 
 /** The process was told to stop. */
@@ -246,11 +248,18 @@
   /** Request counts of windows that were not yet reported. */
   std::vector<ProcessUsage> usage;
   int64_t wall_ms = 0;
+  /** Parts of prompts that crash servers; ages as of the save. */
+  std::vector<serving::BlockedPart> blocked_parts = {};
 };
 
 /** Read the saved progress. Completes with ProgressRead if any is stored. */
 struct ReadProgress {};
 
+/** Hand saved blocks of prompt parts to the data plane. */
+struct RestoreBlockedParts {
+  std::vector<serving::BlockedPart> blocked;  ///< Ages as of now.
+};
+
 /** Hand saved quota levels to the data plane. */
 struct RestoreQuotas {
   std::map<std::string, double> levels;
@@ -278,6 +287,7 @@
                             SaveProgress,
                             ReadProgress,
                             RestoreQuotas,
+                            RestoreBlockedParts,
                             LogChange>;
 
 // State.
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -178,8 +178,13 @@
     progress.usage =
         state.usage.Export(progress.wall_ms / window_ms - kReportedWindows);
   }
+  serving::CrashEvidence evidence;
+  evidence.blocked = state.report.crash_evidence.blocked;
+  serving::SetAges(evidence, now);
+  progress.blocked_parts = std::move(evidence.blocked);
   if (now < state.next_save ||
-      (progress.levels.empty() && progress.usage.empty())) {
+      (progress.levels.empty() && progress.usage.empty() &&
+       progress.blocked_parts.empty())) {
     return;
   }
   state.next_save = now + kSavePeriod;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -6,6 +6,7 @@
 #include "fleet/fleet_cmd.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "duty_cmd.h"
@@ -277,6 +278,21 @@
                                  "", state.servers_revision});
 }
 
+void RestoreBlocks(const ProgressRead& read,
+                   milliseconds age,
+                   std::vector<Effect>& effects) {
+  if (read.blocked_parts.empty()) {
+    return;
+  }
+  RestoreBlockedParts restore{read.blocked_parts};
+  for (serving::BlockedPart& blocked : restore.blocked) {
+    const uint64_t total = blocked.age_ms + static_cast<uint64_t>(age.count());
+    blocked.age_ms = static_cast<uint32_t>(
+        std::min<uint64_t>(total, std::numeric_limits<uint32_t>::max()));
+  }
+  effects.emplace_back(std::move(restore));
+}
+
 void ApplySavedProgress(FleetState& state,
                         const ProgressRead& read,
                         TimePoint now,
@@ -285,11 +301,12 @@
   for (const ProcessUsage& process : read.usage) {
     state.usage.Merge(process.ip, process.incarnation, process.counts);
   }
+  milliseconds age(
+      std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
+  RestoreBlocks(read, age, effects);
   if (now - state.started > kMaxUptimeForRestore) {
     return;  // This node's own levels are newer.
   }
-  milliseconds age(
-      std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
   if (age > kMaxSavedLevelAge) {
     return;
   }
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -233,6 +233,27 @@
       << "the node's own levels are newer";
 }
 
+// Guards against sending requests with a part that crashes servers again after
+// all nodes were killed (incident of 2026-12-05, BUDGET).
+TEST_F(DutyTest, BlockedPartsOutlastARestartOfAllNodes) {
+  this->GainDuties();
+  serving::TrafficReport report;
+  report.crash_evidence.blocked = {{{9, 77}, 1, 0, this->now}};
+  this->Apply(TrafficReported{report});
+  const auto save = this->RunUntil<SaveProgress>(seconds(3));
+  ASSERT_TRUE(save);
+  ASSERT_EQ(save->blocked_parts.size(), 1U);
+  this->Apply(ProgressRead{save->levels,
+                           {},
+                           save->wall_ms,
+                           save->wall_ms + 2000,
+                           save->blocked_parts});
+  const auto* restore = this->Find<RestoreBlockedParts>();
+  ASSERT_NE(restore, nullptr);
+  EXPECT_EQ(restore->blocked[0].key, (serving::PartKey{9, 77}));
+  EXPECT_GE(restore->blocked[0].age_ms, 2000U);
+}
+
 // Scenario: all processes are killed in the middle of a usage window. Guards
 // against a report that lacks the requests from before (found as "usage of
 // window ... is off" in run trouble-3 on kbtc-wharf).
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -37,6 +37,8 @@
   virtual void OnPeersPublished(serving::PeerSummary summary) = 0;
   virtual void OnQuotasRestored(const std::map<std::string, double>& levels,
                                 Duration age) = 0;
+  virtual void OnBlockedPartsRestored(
+      const std::vector<serving::BlockedPart>& blocked) = 0;
 };
 
 /** Response of an HTTP endpoint of the control loop. */
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -53,6 +53,8 @@
   void OnPeersPublished(serving::PeerSummary summary) override;
   void OnQuotasRestored(const std::map<std::string, double>& levels,
                         Duration age) override;
+  void OnBlockedPartsRestored(
+      const std::vector<serving::BlockedPart>& blocked) override;
   void WaitForSignal();
   void ReloadSettings();
   void BeginShutdown();
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -223,6 +223,9 @@
           [&](const fleet::RestoreQuotas& quotas) {
             this->state_listener.OnQuotasRestored(quotas.levels, quotas.age);
           },
+          [&](const fleet::RestoreBlockedParts& restore) {
+            this->state_listener.OnBlockedPartsRestored(restore.blocked);
+          },
           [&](const fleet::LogChange& change) {
             this->log.Write(
                 EventLevel::kInfo, change.event,
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -161,6 +161,15 @@
   });
 }
 
+void Node::OnBlockedPartsRestored(
+    const std::vector<serving::BlockedPart>& blocked) {
+  asio::post(this->traffic_loop, [this, evidence = serving::CrashEvidence{
+                                            {}, {}, blocked}]() mutable {
+    serving::SetTimes(evidence, BootClock::now());
+    this->traffic->MergeCrashEvidence(evidence);
+  });
+}
+
 void Node::WaitForSignal() {
   this->signals.async_wait(
       [this](const boost::system::error_code& error, int number) {
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -48,8 +48,8 @@
   EXPECT_FALSE(faults.empty());
 }
 
-/** A message as the previous version encodes it. */
-std::string EncodePreviousVersion(const serving::PeerMessage& message) {
+/** Encodes the message without the tail that a later version added. */
+std::string EncodeWithoutTail(const serving::PeerMessage& message) {
   std::ostringstream stream(std::ios::binary);
   {
     cereal::PortableBinaryOutputArchive archive(stream);
@@ -58,6 +58,18 @@
   return stream.str();
 }
 
+/** Encodes the message with the tail, but without the evidence on crashes that
+ * a later version added after it. */
+std::string EncodeWithoutEvidence(const serving::PeerMessage& message) {
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message, serving::PeerMessageTail{message.report.leaving,
+                                              message.report.prefill_speeds});
+  }
+  return stream.str();
+}
+
 TEST(PeerCodecTest, MessagesRoundTripAndTruncationIsDetected) {
   serving::PeerMessage message;
   message.format = serving::kPeerFormat;
@@ -65,6 +77,8 @@
   message.report.usage = {{7, {{1, 2}}}};
   message.known_ips = {1, 2, 3};
   message.report.leaving = {{5, 6, 7, {}}};
+  message.report.crash_evidence = {
+      {{1, 2, 3, {4, 5}, 6, {}}}, {{{7, 8}, 9, {}}}, {{{10, 11}, 12, 13, {}}}};
   const std::string bytes = EncodePeerMessage(message);
   const auto decoded = DecodePeerMessage(bytes);
   ASSERT_TRUE(decoded);
@@ -72,30 +86,47 @@
   EXPECT_EQ(decoded->report.usage.at(7).at(1), 2U);
   ASSERT_EQ(decoded->report.leaving.size(), 1U);
   EXPECT_EQ(decoded->report.leaving[0].server, 5U);
-  // Only the message of the previous version, which has no tail, is complete.
-  const size_t without_tail = EncodePreviousVersion(message).size();
+  const serving::CrashEvidence& evidence = decoded->report.crash_evidence;
+  ASSERT_EQ(evidence.crashes.size(), 1U);
+  EXPECT_EQ(evidence.crashes[0].parts, (std::vector<uint64_t>{4, 5}));
+  EXPECT_EQ(evidence.crashes[0].age_ms, 6U);
+  ASSERT_EQ(evidence.successes.size(), 1U);
+  EXPECT_EQ(evidence.successes[0].key, (serving::PartKey{7, 8}));
+  ASSERT_EQ(evidence.blocked.size(), 1U);
+  EXPECT_EQ(evidence.blocked[0].times, 12U);
+  // Only the messages of the two earlier versions are complete.
+  const size_t without_tail = EncodeWithoutTail(message).size();
+  const size_t without_evidence = EncodeWithoutEvidence(message).size();
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
     const auto part = DecodePeerMessage(bytes.substr(0, cut));
-    EXPECT_EQ(part.has_value(), cut == without_tail) << cut;
+    EXPECT_EQ(part.has_value(), cut == without_tail || cut == without_evidence)
+        << cut;
   }
 }
 
 // Guards against a tail that one of two versions can't handle while both run.
-TEST(PeerCodecTest, MessagesOfThePreviousVersionAreUnderstood) {
+TEST(PeerCodecTest, MessagesOfEarlierVersionsAreUnderstood) {
   serving::PeerMessage message;
   message.format = serving::kPeerFormat;
   message.status.ip = "10.0.0.1";
   message.report.leaving = {{5, 6, 7, {}}};
-  const auto decoded = DecodePeerMessage(EncodePreviousVersion(message));
-  ASSERT_TRUE(decoded);
-  EXPECT_EQ(decoded->status.ip, "10.0.0.1");
-  EXPECT_TRUE(decoded->report.leaving.empty());
-  // The previous version reads its own fields and ignores what follows.
+  message.report.crash_evidence.blocked = {{{10, 11}, 12, 13, {}}};
+  const auto oldest = DecodePeerMessage(EncodeWithoutTail(message));
+  ASSERT_TRUE(oldest);
+  EXPECT_EQ(oldest->status.ip, "10.0.0.1");
+  EXPECT_TRUE(oldest->report.leaving.empty());
+  const auto previous = DecodePeerMessage(EncodeWithoutEvidence(message));
+  ASSERT_TRUE(previous);
+  EXPECT_EQ(previous->report.leaving.size(), 1U);
+  EXPECT_TRUE(previous->report.crash_evidence.blocked.empty());
+  // Earlier versions read their own fields and ignore what follows.
   std::istringstream stream(EncodePeerMessage(message), std::ios::binary);
   cereal::PortableBinaryInputArchive archive(stream);
   serving::PeerMessage read;
-  archive(read);
+  serving::PeerMessageTail tail;
+  archive(read, tail);
   EXPECT_EQ(read.status.ip, "10.0.0.1");
+  EXPECT_EQ(tail.leaving.size(), 1U);
 }
 
 // Guards against memory use that a few bytes can ask for.
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -75,6 +75,9 @@
   /** Applies the merged reports of the other nodes. */
   void SetPeers(const serving::PeerSummary& summary);
 
+  /** Merges what other nodes, or a save, tell of parts that crash servers. */
+  void MergeCrashEvidence(const serving::CrashEvidence& evidence);
+
   /** Restores quota levels that were saved @p age ago. */
   void RestoreQuotas(const std::map<std::string, double>& levels,
                      Duration age) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -218,15 +218,7 @@
   this->crash_settle_time = std::min<Duration>(
       kSettlePeriods * summary.message_period, kMaxSettleTime);
   for (const serving::CrashEvidence& evidence : summary.crash_evidence) {
-    const TimePoint now = BootClock::now();
-    const auto changes = this->crash_attribution.Merge(evidence, now);
-    for (const serving::BlockedPart& blocked : changes.blocked) {
-      this->log.Write(EventLevel::kWarning, "prompt_part_block_adopted",
-                      {{"part", blocked.key.part},
-                       {"times", blocked.times},
-                       {"age_ms", blocked.age_ms}});
-    }
-    this->LogUnblocked(changes.unblocked);
+    this->MergeCrashEvidence(evidence);
   }
   this->prefill_speeds = summary.prefill_speeds;
   bool any_leaves = false;
@@ -395,6 +387,21 @@
   }
 }
 
+void TrafficCore::MergeCrashEvidence(const serving::CrashEvidence& evidence) {
+  const auto changes =
+      this->crash_attribution.Merge(evidence, BootClock::now());
+  for (const serving::BlockedPart& blocked : changes.blocked) {
+    this->log.Write(EventLevel::kWarning, "prompt_part_block_adopted",
+                    {{"part", blocked.key.part},
+                     {"times", blocked.times},
+                     {"age_ms", blocked.age_ms}});
+  }
+  this->LogUnblocked(changes.unblocked);
+  if (!changes.blocked.empty()) {
+    this->AbandonBlockedRequests();
+  }
+}
+
 void TrafficCore::LogUnblocked(const std::vector<serving::PartKey>& parts) {
   for (const serving::PartKey& key : parts) {
     this->log.Write(EventLevel::kInfo, "prompt_part_unblocked",
