Bound chunk heads and trailers of requests and responses

Cause: Beast's parser takes the head of a chunk, and the last chunk with its trailers, only when they are whole; its header limit does not cover them, and the readers keep whatever it leaves. Change: after each call the parsers check what is left: 512 bytes for a chunk head, the header limit for trailers. A client gets 400 or 431, a server's response counts as malformed, with the retry rules for that. The header limit of responses is 16 KiB, as that of requests.

--- a/packages/httpio/include/httpio/message_parser_base.h
+++ b/packages/httpio/include/httpio/message_parser_base.h
@@ -59,7 +59,8 @@
   RequestParser(uint32_t header_limit, uint64_t body_limit);
 
   /**
-   * Parses as much of the input as possible.
+   * Parses as much of the input as possible. What it leaves is bounded: a part
+   * of the message that exceeds its limit is a fault, complete or not.
    * @param bytes All bytes received and not yet consumed.
    * @return Number of bytes consumed.
    */
@@ -90,13 +91,17 @@
   void on_body_init_impl(const boost::optional<uint64_t>& length,
                          ErrorCode& error) override;
   size_t on_body_impl(View body, ErrorCode& error) override;
-  void on_chunk_header_impl(uint64_t, View, ErrorCode&) override {}
+  void on_chunk_header_impl(uint64_t size,
+                            View extensions,
+                            ErrorCode& error) override;
   size_t on_chunk_body_impl(uint64_t remain,
                             View body,
                             ErrorCode& error) override;
   void on_finish_impl(ErrorCode&) override {}
 
   ParseFault fault = ParseFault::kNone;
+  uint32_t trailer_limit;  ///< In bytes, of all trailers together.
+  size_t trailer_bytes = 0;
   bool header_done = false;
   bool expects_continue = false;
 };
@@ -154,13 +159,16 @@
   void on_body_init_impl(const boost::optional<uint64_t>&,
                          ErrorCode&) override {}
   size_t on_body_impl(View body, ErrorCode& error) override;
-  void on_chunk_header_impl(uint64_t, View, ErrorCode&) override {}
+  void on_chunk_header_impl(uint64_t size,
+                            View extensions,
+                            ErrorCode& error) override;
   size_t on_chunk_body_impl(uint64_t remain,
                             View body,
                             ErrorCode& error) override;
   void on_finish_impl(ErrorCode&) override {}
 
   BodySink sink;
+  size_t trailer_bytes = 0;
   bool header_done = false;
   bool failed = false;
 };
--- a/packages/httpio/src/message_parser_base.cc
+++ b/packages/httpio/src/message_parser_base.cc
@@ -15,8 +15,12 @@
 
 namespace http = boost::beast::http;
 
-/** Maximum response header size, in bytes. */
-constexpr uint32_t kResponseHeaderLimit = 65536;
+/** Maximum size of a response's header and of its trailers, in bytes; as that
+ * of requests by default. */
+constexpr uint32_t kResponseHeaderLimit = 16384;
+
+/** Maximum length of a chunk's size with its extensions, in bytes. */
+constexpr size_t kMaxChunkHead = 512;
 
 constexpr std::array<std::string_view, 9> kHopByHopFields = {
     "connection", "keep-alive",        "proxy-connection",
@@ -34,6 +38,24 @@
   return text;
 }
 
+/**
+ * Checks what a parser has left of a message whose header is complete: the
+ * beginning of a chunk head, or of the last chunk with its trailers.
+ */
+ParseFault CheckRest(std::string_view rest, uint32_t trailer_limit) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (rest.starts_with(kLineEnd)) {
+    rest.remove_prefix(kLineEnd.size());  // It ends the chunk before.
+  }
+  const size_t line_end = rest.find(kLineEnd);
+  if (std::min(line_end, rest.size()) > kMaxChunkHead) {
+    return ParseFault::kMalformed;
+  }
+  return line_end != std::string_view::npos && rest.size() > trailer_limit
+             ? ParseFault::kHeaderTooLarge
+             : ParseFault::kNone;
+}
+
 std::string_view ToStdView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -74,7 +96,8 @@
       [&](std::string_view field) { return EqualNoCase(field, name); });
 }
 
-RequestParser::RequestParser(uint32_t header_limit, uint64_t max_body) {
+RequestParser::RequestParser(uint32_t header_limit, uint64_t max_body)
+    : trailer_limit(header_limit) {
   this->header_limit(header_limit);
   this->body_limit(max_body);
   this->eager(true);
@@ -85,6 +108,9 @@
   const size_t consumed =
       this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
   if (!error || error == http::error::need_more) {
+    if (this->is_header_done() && !this->is_done()) {
+      this->fault = CheckRest(bytes.substr(consumed), this->trailer_limit);
+    }
     return consumed;
   }
   if (error == http::error::header_limit) {
@@ -111,7 +137,11 @@
                                   View value,
                                   ErrorCode& error) {
   if (this->header_done) {
-    return;  // Ignore trailers.
+    this->trailer_bytes += name.size() + value.size();
+    if (this->trailer_bytes > this->trailer_limit) {
+      error = http::error::header_limit;
+    }
+    return;  // Trailers are ignored.
   }
   // Any transfer coding other than a single "chunked" makes the framing
   // ambiguous.
@@ -156,6 +186,14 @@
   return body.size();
 }
 
+void RequestParser::on_chunk_header_impl(uint64_t,
+                                         View extensions,
+                                         ErrorCode& error) {
+  if (extensions.size() > kMaxChunkHead) {
+    error = http::error::bad_chunk_extension;
+  }
+}
+
 ResponseParser::ResponseParser(BodySink body_sink, bool head_request)
     : sink(std::move(body_sink)) {
   this->header_limit(kResponseHeaderLimit);
@@ -170,6 +208,9 @@
       this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
   if (error && error != http::error::need_more) {
     this->failed = true;
+  } else if (this->is_header_done() && !this->is_done()) {
+    this->failed = CheckRest(bytes.substr(consumed), kResponseHeaderLimit) !=
+                   ParseFault::kNone;
   }
   return consumed;
 }
@@ -194,9 +235,22 @@
 void ResponseParser::on_field_impl(http::field,
                                    View name,
                                    View value,
-                                   ErrorCode&) {
+                                   ErrorCode& error) {
   if (!this->header_done) {
     this->head.fields.emplace_back(ToStdView(name), ToStdView(value));
+    return;
+  }
+  this->trailer_bytes += name.size() + value.size();
+  if (this->trailer_bytes > kResponseHeaderLimit) {
+    error = http::error::header_limit;
+  }
+}
+
+void ResponseParser::on_chunk_header_impl(uint64_t,
+                                          View extensions,
+                                          ErrorCode& error) {
+  if (extensions.size() > kMaxChunkHead) {
+    error = http::error::bad_chunk_extension;
   }
 }
 
