Time out requests whose body is sent slowly or stops

Seen by callers: a client that sends a head and then stops, or sends its body or trailers byte by byte, holds a connection and its memory for good. Cause: the header timeout ended with the header, and the idle timeout only closes connections without a request. Change: a body that makes no progress for the idle timeout, and a request that takes longer than the header and the idle timeout together, get 408.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -45,6 +45,8 @@
   uint32_t max_header_bytes = 16384;
   uint64_t max_body_bytes = 1048576;
   std::chrono::milliseconds header_timeout{3000};
+  /** For connections without a request, and for a body that does not go on. A
+   * whole request has to arrive within both timeouts together. */
   std::chrono::milliseconds idle_timeout{15000};
 };
 
@@ -124,7 +126,10 @@
   void Read();
   void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
-  void RejectInput(ParseFault fault);
+  /** Answers a request that was not read completely, and closes. */
+  void RejectInput(uint32_t status);
+  /** Whether the request that is being read takes too long. */
+  bool IsRequestLate(TimePoint now) const;
   void Write();
   void OnWritten(const boost::system::error_code& error);
   void Close();
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -27,6 +27,9 @@
 /** A connection is closed if the client accepts no data for this long. */
 constexpr std::chrono::seconds kWriteStallTimeout(10);
 
+/** Status for a request that does not arrive in time. */
+constexpr uint32_t kStatusTimeout = 408;
+
 uint32_t StatusForFault(ParseFault fault) {
   switch (fault) {
     case ParseFault::kHeaderTooLarge:
@@ -137,7 +140,7 @@
   const size_t consumed = this->parser->Feed(this->unparsed_input);
   this->unparsed_input.erase(0, consumed);
   if (this->parser->Fault() != ParseFault::kNone) {
-    this->RejectInput(this->parser->Fault());
+    this->RejectInput(StatusForFault(this->parser->Fault()));
     return;
   }
   if (!this->parser->is_done()) {
@@ -155,11 +158,11 @@
                                    std::move(request));
 }
 
-void ServerConnection::RejectInput(ParseFault fault) {
+void ServerConnection::RejectInput(uint32_t status) {
   this->parser.reset();
   this->unparsed_input.clear();
   this->request_active = true;
-  this->Send(MakeResponse(StatusForFault(fault), {}, {}, false));
+  this->Send(MakeResponse(status, {}, {}, false));
   this->EndResponse(false);
 }
 
@@ -296,6 +299,19 @@
   this->listener.connections.erase(this->shared_from_this());
 }
 
+bool ServerConnection::IsRequestLate(TimePoint now) const {
+  if (!this->parser) {
+    return false;
+  }
+  const ConnectionLimits& limits = this->listener.limits;
+  const Duration taken = now - this->request_started;
+  if (!this->parser->is_header_done()) {
+    return taken > limits.header_timeout;
+  }
+  return now - this->last_progress > limits.idle_timeout ||
+         taken > limits.header_timeout + limits.idle_timeout;
+}
+
 void ServerConnection::CheckTime(TimePoint now) {
   if (this->pending_bytes > 0) {
     if (now - this->last_progress > kWriteStallTimeout) {
@@ -309,14 +325,8 @@
   if (this->request_active) {
     return;
   }
-  const bool in_header = this->parser && !this->parser->is_header_done();
-  const auto header_limit = this->listener.limits.header_timeout;
-  if (in_header && now - this->request_started > header_limit) {
-    this->parser.reset();
-    this->unparsed_input.clear();
-    this->request_active = true;
-    this->Send(MakeResponse(408, {}, {}, false));
-    this->EndResponse(false);
+  if (this->IsRequestLate(now)) {
+    this->RejectInput(kStatusTimeout);
     return;
   }
   if (now - this->last_progress > this->listener.limits.idle_timeout) {
--- a/packages/httpio/tests/unending_message_test.cc
+++ b/packages/httpio/tests/unending_message_test.cc
@@ -229,5 +229,31 @@
   EXPECT_TRUE(this->is_closed);
 }
 
+// Guards against clients that hold a connection for good by sending a body, or
+// trailers, byte by byte, or by stopping in the middle of it.
+TEST_F(UnendingConnectionTest, SlowBodyTimesOut) {
+  ConnectionLimits limits;
+  limits.header_timeout = milliseconds(200);
+  limits.idle_timeout = milliseconds(300);
+  this->listener->SetLimits(limits);
+  const std::string received = this->SendUntilClosed(
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n", "x",
+      milliseconds(10), std::chrono::seconds(3));
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 408")) << received;
+  EXPECT_TRUE(this->is_closed);
+}
+
+TEST_F(UnendingConnectionTest, StalledBodyTimesOut) {
+  ConnectionLimits limits;
+  limits.header_timeout = milliseconds(200);
+  limits.idle_timeout = milliseconds(300);
+  this->listener->SetLimits(limits);
+  const std::string received = this->SendUntilClosed(
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nx", "",
+      milliseconds(10), std::chrono::seconds(3));
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 408")) << received;
+  EXPECT_TRUE(this->is_closed);
+}
+
 }  // namespace
 }  // namespace boragewharf::httpio
