Bound what all connections of a node hold together

Cause: only buffered responses had a common bound. Unfinished events, request bodies and what clients do not read were not counted, and a response that arrived while the sum was exceeded was ended, however small. Change: a listener counts unfinished requests and unsent responses of its connections, and above 32 MiB ends those that hold the most. Unfinished events count among the buffered responses; above their bound only a response that holds no less than the average is ended, so that small ones go on. Measured: UnfinishedRequestsShareOneBufferLimit (40 clients with 200 KB each, bound 2 MB: kept, and another client is served; the bound did not exist before), EndlessFramingIsRetriedOnAnotherServer over the whole path.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -48,6 +48,9 @@
   /** For connections without a request, and for a body that does not go on. A
    * whole request has to arrive within both timeouts together. */
   std::chrono::milliseconds idle_timeout{15000};
+  /** Bytes of unfinished requests and unsent responses of all connections
+   * together, above which the connections that hold the most are ended. */
+  size_t max_buffered_bytes = size_t{32} * 1024 * 1024;
 };
 
 /**
@@ -122,12 +125,21 @@
    */
   void CloseIfIdle();
 
+  /** Bytes of the unfinished request and of unsent responses, as of the last
+   * read or check of timeouts. */
+  size_t BufferedBytes() const { return this->counted_bytes; }
+
+  /** Ends the connection, as all connections hold too much together. */
+  void Evict();
+
  private:
   void Read();
   void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
   /** Answers a request that was not read completely, and closes. */
   void RejectInput(uint32_t status);
+  /** Updates the listener's sum of what its connections hold. */
+  void CountBuffered();
   /** Whether the request that is being read takes too long. */
   bool IsRequestLate(TimePoint now) const;
   void Write();
@@ -143,6 +155,7 @@
   std::deque<std::string> write_queue;
   std::string write_buffer;
   size_t pending_bytes = 0;
+  size_t counted_bytes = 0;  ///< In HttpListener::buffered_bytes.
   std::function<void()> write_complete_callback;
   TimePoint last_progress;  ///< When data was last sent or received.
   TimePoint request_started;
@@ -182,6 +195,10 @@
    * kernel has accepted for this listener are reset. */
   void StopAccepting();
 
+  /** Bytes of unfinished requests and unsent responses; see
+   * ConnectionLimits::max_buffered_bytes. */
+  size_t BufferedBytes() const { return this->buffered_bytes; }
+
   /** Number of open connections. */
   size_t Connections() const { return this->connections.size(); }
 
@@ -192,11 +209,14 @@
  private:
   friend class ServerConnection;
   void Accept();
+  /** Ends connections until the others hold less than the limit. */
+  void EnforceBufferLimit();
 
   boost::asio::io_context& loop;
   boost::asio::ip::tcp::acceptor acceptor;
   RequestHandler& handler;
   ConnectionLimits limits;
+  size_t buffered_bytes = 0;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections;
 };
 
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -4,6 +4,7 @@
  */
 #include "httpio/server_connection_base.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
@@ -27,6 +28,9 @@
 /** A connection is closed if the client accepts no data for this long. */
 constexpr std::chrono::seconds kWriteStallTimeout(10);
 
+/** Status for a request that there is no memory for. */
+constexpr uint32_t kStatusOverloaded = 503;
+
 /** Status for a request that does not arrive in time. */
 constexpr uint32_t kStatusTimeout = 408;
 
@@ -125,9 +129,33 @@
   if (!this->request_active) {
     this->Parse();
   }
+  this->CountBuffered();
+  this->listener.EnforceBufferLimit();
   this->Read();
 }
 
+void ServerConnection::CountBuffered() {
+  size_t held = 0;
+  if (this->socket.is_open()) {
+    held = this->unparsed_input.size() + this->pending_bytes +
+           (this->parser ? this->parser->request.body.size() : 0);
+  }
+  this->listener.buffered_bytes += held;
+  this->listener.buffered_bytes -= this->counted_bytes;
+  this->counted_bytes = held;
+}
+
+void ServerConnection::Evict() {
+  if (this->request_active) {
+    this->listener.handler.OnClientDisconnected(*this);
+    this->Abort();
+    return;
+  }
+  this->RejectInput(kStatusOverloaded);
+  // Does not wait for a client that reads slowly.
+  this->Close();
+}
+
 void ServerConnection::Parse() {
   if (this->unparsed_input.empty() || this->close_after_write) {
     return;
@@ -296,6 +324,7 @@
   boost::system::error_code ignored;
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
   this->socket.close(ignored);
+  this->CountBuffered();
   this->listener.connections.erase(this->shared_from_this());
 }
 
@@ -313,6 +342,7 @@
 }
 
 void ServerConnection::CheckTime(TimePoint now) {
+  this->CountBuffered();
   if (this->pending_bytes > 0) {
     if (now - this->last_progress > kWriteStallTimeout) {
       if (this->request_active) {
@@ -385,6 +415,21 @@
   for (const auto& connection : all) {
     connection->CheckTime(now);
   }
+  this->EnforceBufferLimit();
+}
+
+void HttpListener::EnforceBufferLimit() {
+  while (this->buffered_bytes > this->limits.max_buffered_bytes) {
+    const auto largest = std::ranges::max_element(
+        this->connections, {},
+        [](const auto& connection) { return connection->BufferedBytes(); });
+    if (largest == this->connections.end() ||
+        (*largest)->BufferedBytes() == 0) {
+      return;
+    }
+    const std::shared_ptr<ServerConnection> connection = *largest;
+    connection->Evict();
+  }
 }
 
 void HttpListener::CloseIdle() {
--- a/packages/httpio/tests/unending_message_test.cc
+++ b/packages/httpio/tests/unending_message_test.cc
@@ -255,5 +255,39 @@
   EXPECT_TRUE(this->is_closed);
 }
 
+// Guards against many clients that each stay below their own limits, but fill
+// the memory of a node together; another client's request is still read.
+TEST_F(UnendingConnectionTest, UnfinishedRequestsShareOneBufferLimit) {
+  constexpr size_t kBodyBytes = 200000;
+  ConnectionLimits limits;
+  limits.max_buffered_bytes = 10 * kBodyBytes;
+  this->listener->SetLimits(limits);
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n";
+  std::vector<tcp::socket> clients;
+  size_t largest = 0;
+  for (int i = 0; i < 40; ++i) {
+    clients.emplace_back(this->loop);
+    clients.back().connect(this->client.remote_endpoint());
+    clients.back().non_blocking(true);
+    std::string unsent = head + std::string(kBodyBytes, 'x');
+    for (int round = 0; round < 50 && !unsent.empty(); ++round) {
+      boost::system::error_code error;
+      unsent.erase(0, clients.back().send(asio::buffer(unsent), 0, error));
+      this->RunFor(milliseconds(2));
+      largest = std::max(largest, this->listener->BufferedBytes());
+    }
+  }
+  EXPECT_GT(largest, limits.max_buffered_bytes / 2);
+  EXPECT_LE(largest, limits.max_buffered_bytes);
+  this->SendUntilClosed(
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", "",
+      milliseconds(10), std::chrono::seconds(1));
+  EXPECT_EQ(this->handler.requests, 1U);
+  clients.clear();
+  this->RunFor(milliseconds(50));
+  EXPECT_EQ(this->listener->BufferedBytes(), 0U);
+}
+
 }  // namespace
 }  // namespace boragewharf::httpio
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -49,11 +49,25 @@
   }
   this->splitter.Append(bytes);
   this->ForwardEvents(now);
-  if (this->attempt && this->splitter.Rest().size() > kMaxEventBytes) {
+  this->CountEventBytes();
+  if (this->attempt && (this->event_bytes > kMaxEventBytes ||
+                        this->ExceedsBufferLimit(this->event_bytes))) {
     this->FailAttempt(AttemptFailure::kMalformed);
   }
 }
 
+void Exchange::CountEventBytes() {
+  const size_t held = this->splitter.Rest().size();
+  this->core.buffered_bytes += held;
+  this->core.buffered_bytes -= this->event_bytes;
+  this->event_bytes = held;
+}
+
+bool Exchange::ExceedsBufferLimit(size_t own_bytes) const {
+  return this->core.buffered_bytes > TrafficCore::kMaxBufferedBytes &&
+         own_bytes * this->core.exchanges.size() >= this->core.buffered_bytes;
+}
+
 void Exchange::BufferBody(std::string_view bytes, TimePoint now) {
   if (this->attempt->has_content_length) {
     // Without a Content-Length, more data is no sign that the body will end.
@@ -62,7 +76,7 @@
   this->buffered.append(bytes);
   this->core.buffered_bytes += bytes.size();
   if (this->buffered.size() > kMaxBufferedAnswer ||
-      this->core.buffered_bytes > TrafficCore::kMaxBufferedBytes) {
+      this->ExceedsBufferLimit(this->buffered.size())) {
     this->FailAttempt(AttemptFailure::kMalformed);
   }
 }
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -89,6 +89,7 @@
 Exchange::~Exchange() {
   this->ReleaseAttempt();
   this->DropBuffered();
+  this->core.buffered_bytes -= this->event_bytes;
 }
 
 bool Exchange::IsStream() const {
@@ -331,6 +332,7 @@
   this->core.demand[this->service_name].running += 1;
   next.connection = this->core.pool.Acquire(*server, max_idle, now);
   this->splitter.Reset();
+  this->CountEventBytes();
   this->DropBuffered();
   this->attempt = std::move(next);
   const auto connection = this->attempt->connection;
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -146,6 +146,11 @@
   void CompleteBuffered();
   void BufferBody(std::string_view bytes, TimePoint now);
   void DropBuffered();
+  /** Updates the sum of buffered bytes by those of the unfinished event. */
+  void CountEventBytes();
+  /** Whether all requests together hold too much of their responses, and this
+   * one no less than the average. */
+  bool ExceedsBufferLimit(size_t own_bytes) const;
   void FailAttempt(serving::AttemptFailure failure);
   void ForwardEvents(TimePoint now);
   /** Records that the first event of the attempt has arrived. */
@@ -204,6 +209,7 @@
   TimePoint first_event_at;
   serving::EventSplitter splitter;
   std::string buffered;
+  size_t event_bytes = 0;  ///< See CountEventBytes().
   Move move;
 };
 
