Treat an unframed stream without events as broken off

Seen by callers: a server whose response has neither a length nor chunks and that ends before its first event gave the client an empty stream as a complete one. Cause: the end of the connection completes such a response; only the middle of an event was looked at. Change: it is a lost connection, with the retry rules of one. The end of an unframed stream does not exonerate the parts of its prompt, since a crash can end it in the same way.

--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -213,16 +213,22 @@
 }
 
 void Exchange::CompleteStream() {
-  const std::string rest(this->splitter.Rest());
-  if (!rest.empty()) {
-    // The response ended in the middle of an event.
+  const bool without_event =
+      !this->attempt->first_event && !this->answer_started;
+  if (!this->splitter.Rest().empty() ||
+      (without_event && this->attempt->ends_with_connection)) {
+    // The response ended in the middle of an event, or with the connection
+    // before its first one.
     this->attempt->completed = false;
     this->AfterFailure(AttemptFailure::kConnectionLost);
     return;
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
   this->core.suspects.ClearCrashes(this->fingerprint);
-  this->ExonerateParts(BootClock::now());
+  if (!this->attempt->ends_with_connection) {
+    // A crash can end such a connection like a complete response.
+    this->ExonerateParts(BootClock::now());
+  }
   this->SendStreamHead();
   this->client->Send("0\r\n\r\n");
   this->Finish("served", this->attempt->facts->status);
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -391,6 +391,9 @@
   }
   this->attempt->has_content_length =
       !httpio::FindField(head.fields, "Content-Length").empty();
+  this->attempt->ends_with_connection =
+      !this->attempt->has_content_length &&
+      httpio::FindField(head.fields, "Transfer-Encoding").empty();
   this->attempt->facts = std::move(facts);
   return true;
 }
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -94,6 +94,8 @@
     bool resumes = false;      ///< Continues a stream; little of the prompt is
                                ///< read.
     bool has_content_length = false;  ///< The response has this field.
+    /** The end of the connection is that of the response. */
+    bool ends_with_connection = false;
     uint32_t prefill_tokens = 0;  ///< Still counted as load of the server.
     std::optional<serving::ResponseFacts> facts;
   };
