--- a/packages/httpio/tests/unending_message_test.cc
+++ b/packages/httpio/tests/unending_message_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/write.hpp>
+#include <random>
 
 #include "httpio/message_parser_base.h"
 #include "httpio/server_connection_base.h"
@@ -128,6 +129,59 @@
   }
 }
 
+// Guards against parts of the grammar that the lists above miss: messages of
+// random parts, of which one is repeated without end.
+TEST(UnendingMessageTest, RandomMessagesAreBounded) {
+  constexpr uint32_t kRuns = 400;
+  const std::vector<std::string> parts = {"GET / HTTP/1.1\r\n",
+                                          "HTTP/1.1 200 OK\r\n",
+                                          "HTTP/1.1 100 C\r\n",
+                                          "Host: x\r\n",
+                                          "Transfer-Encoding: chunked\r\n",
+                                          "Content-Length: 5\r\n",
+                                          "X: y\r\n",
+                                          "\r\n",
+                                          "\r",
+                                          "\n",
+                                          "1\r\na\r\n",
+                                          "0",
+                                          "5;a=b",
+                                          ";a=\"",
+                                          "abc",
+                                          "0\r\n",
+                                          " ",
+                                          ":",
+                                          std::string(1, '\0')};
+  std::mt19937 generator(34);
+  const auto below = [&](size_t bound) {
+    return std::uniform_int_distribution<size_t>(0, bound - 1)(generator);
+  };
+  for (uint32_t run = 0; run < kRuns; ++run) {
+    UnendingMessage message{"random", "", parts[below(parts.size())]};
+    message.start = run % 2 == 0 ? kChunkedRequest : kChunkedResponse;
+    if (below(3) == 0) {
+      message.start.clear();
+    }
+    for (size_t count = below(8); count > 0; --count) {
+      message.start += parts[below(parts.size())];
+    }
+    const size_t piece = 1 + below(8192);
+    RequestParser request(kHeaderLimit, kBodyLimit);
+    const size_t kept = FeedUntilFault(request, message, piece, [&] {
+      return request.Fault() != ParseFault::kNone || request.is_done();
+    });
+    EXPECT_LE(kept, kHeaderLimit + piece + message.start.size())
+        << run << " " << message.start;
+    EXPECT_LE(request.request.body.size(), kBodyLimit) << run;
+    ResponseParser response([](std::string_view) {});
+    const size_t kept_of_response =
+        FeedUntilFault(response, message, piece,
+                       [&] { return response.Failed() || response.is_done(); });
+    EXPECT_LE(kept_of_response, kMaxUnconsumed + message.start.size())
+        << run << " " << message.start;
+  }
+}
+
 // Guards against refusing framing that is unusual but valid.
 TEST(UnendingMessageTest, ValidChunkFramingIsAccepted) {
   RequestParser parser(kHeaderLimit, kBodyLimit);
