Count silence as a crash only for requests with prompt parts

Cause: found by reading the change: a request that timed out counted as running on a server that vanished later, also for plain services, where many clients send the same request; three such losses would refuse it. A host of an entry that is no address would have thrown in the probe. Change: only lost connections count for requests without parts, as before; the probe ignores an address that it cannot parse. Measured: RelayTest, CrashingPartTest and FaultyResponseTest pass; no test shows either case failing before.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -425,8 +425,10 @@
   if (!paused) {
     this->core.pool.RecordFailure(*server, failure, now);
   }
-  const bool broken = failure == AttemptFailure::kConnectionLost ||
-                      failure == AttemptFailure::kTimedOut;
+  // Silence counts only where a response exonerates more than one request.
+  const bool broken =
+      failure == AttemptFailure::kConnectionLost ||
+      (failure == AttemptFailure::kTimedOut && !this->shared_parts.empty());
   // What a server cuts off at its announced end is no sign of a crash.
   if (broken && !this->parts_exonerated &&
       !this->core.pool.IsStopping(*server)) {
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -328,6 +328,12 @@
       BootClock::now() < pooled->no_requests_until) {
     return;
   }
+  boost::system::error_code invalid;
+  const auto host =
+      boost::asio::ip::make_address(pooled->server.address.host, invalid);
+  if (invalid) {
+    return;
+  }
   struct Probe {
     explicit Probe(boost::asio::io_context& event_loop)
         : socket(event_loop), timer(event_loop) {}
@@ -343,9 +349,8 @@
       probe->socket.close(ignored);
     }
   });
-  const Endpoint& address = pooled->server.address;
   probe->socket.async_connect(
-      {boost::asio::ip::make_address(address.host), address.port},
+      {host, pooled->server.address.port},
       [this, probe, pooled](const boost::system::error_code& error) {
         probe->timer.cancel();
         pooled->crash_probe_pending = false;
