--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -11,6 +11,7 @@
 #include "lease/lease_cmd.h"
 #include "lease/lease_func.h"
 #include "scaling_cmd.h"
+#include "serving/crash_evidence_func.h"
 
 namespace boragewharf::fleet {
 namespace {
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -3,6 +3,7 @@
  * Table of the other nodes, and request counts by process.
  */
 #include "fleet/peer_table_base.h"
+#include "serving/crash_evidence_func.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -10,6 +10,7 @@
 
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
+#include "serving/crash_evidence_func.h"
 
 namespace boragewharf::fleet {
 namespace {
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "base/result_func.h"
+#include "serving/crash_evidence_func.h"
 
 namespace boragewharf::node {
 namespace {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "exchange_base.h"
+#include "serving/crash_evidence_func.h"
 
 namespace boragewharf::relay {
 namespace {
@@ -353,7 +354,8 @@
     const BrokenRequest& request = suspect.request;
     this->suspects.CountCrash(request.fingerprint, now);
     this->crash_attribution.RecordCrash(
-        {serving::CrashIdentifier(suspect.server_id, suspect.server_started),
+        {serving::MakeCrashIdentifier(suspect.server_id,
+                                      suspect.server_started),
          static_cast<uint32_t>(request.fingerprint),
          serving::HashName(suspect.service), request.shared_parts, 0,
          request.broken_at},
--- a/packages/serving/include/serving/crash_attribution_base.h
+++ b/packages/serving/include/serving/crash_attribution_base.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -119,7 +120,13 @@
   using CrashTimes = std::pair<TimePoint, TimePoint>;
 
   /** Crashes that speak against a part. */
-  struct Candidate;
+  struct Candidate {
+    std::vector<CrashTimes> crashes;
+    std::set<uint32_t> identifiers;  ///< Of the crashes.
+    std::set<uint32_t> requests;
+    size_t position = 0;  ///< In the prompt; later parts are more specific.
+    bool answered_before = false;
+  };
 
   static Duration BlockTime(uint32_t times);
   bool IsBlocked(const PartKey& key, TimePoint now) const;
--- a/packages/serving/include/serving/crash_evidence_type.h
+++ b/packages/serving/include/serving/crash_evidence_type.h
@@ -6,7 +6,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 #include "base/time_type.h"
@@ -32,7 +31,7 @@
 
 /** A request that ran on a server when this crashed. */
 struct CrashedRequest {
-  uint32_t crash = 0;    ///< Identifies the crash; see CrashIdentifier().
+  uint32_t crash = 0;    ///< Identifies the crash; see MakeCrashIdentifier().
   uint32_t request = 0;  ///< Short fingerprint of the request.
   NameHash service = 0;
   std::vector<uint64_t> parts;  ///< Shared parts, in the order of the prompt.
@@ -83,14 +82,4 @@
   }
 };
 
-/** Sets all ages from the local times. @note Thread-safe. */
-void SetAges(CrashEvidence& evidence, TimePoint now);
-
-/** Sets all local times from the ages. @note Thread-safe. */
-void SetTimes(CrashEvidence& evidence, TimePoint now);
-
-/** Identifies a crash by the lifetime of the server: its id and its start in
- * Unix milliseconds. @note Thread-safe. */
-uint32_t CrashIdentifier(std::string_view server, uint64_t started);
-
 }  // namespace boragewharf::serving
--- a/packages/serving/src/crash_attribution_base.cc
+++ b/packages/serving/src/crash_attribution_base.cc
@@ -4,12 +4,9 @@
  */
 #include "serving/crash_attribution_base.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -64,57 +61,12 @@
 constexpr size_t kMaxBlocks = 256;
 constexpr size_t kMaxPartsPerGeneration = 4096;
 
-/** Time for which each crash is told to the other nodes; several message
- * periods. */
-constexpr std::chrono::seconds kReportTime(10);
-
-/** The same for the end of a block, which matters to nodes that were cut off.
+/** Time for which the end of a block is told, also to nodes that were cut off.
  */
 constexpr std::chrono::minutes kEndedBlockReportTime(1);
 
-/** Bounds of a report, because datagrams are limited. */
-constexpr size_t kMaxReportedCrashes = 8;
-constexpr size_t kMaxReportedSuccesses = 12;
-constexpr size_t kMaxReportedBlocks = 16;
-
-/** Crashes of a part from which on responses to requests with it are told. */
-constexpr size_t kMinCrashesToTell = 2;
-
-uint32_t AgeMs(TimePoint at, TimePoint now) {
-  return static_cast<uint32_t>(std::max<int64_t>(
-      0, std::chrono::duration_cast<milliseconds>(now - at).count()));
-}
-
 }  // namespace
 
-void SetAges(CrashEvidence& evidence, TimePoint now) {
-  for (CrashedRequest& crash : evidence.crashes) {
-    crash.age_ms = AgeMs(crash.crashed_at, now);
-  }
-  for (PartSuccess& success : evidence.successes) {
-    success.age_ms = AgeMs(success.answered_at, now);
-  }
-  for (BlockedPart& blocked : evidence.blocked) {
-    blocked.age_ms = AgeMs(blocked.blocked_at, now);
-  }
-}
-
-void SetTimes(CrashEvidence& evidence, TimePoint now) {
-  for (CrashedRequest& crash : evidence.crashes) {
-    crash.crashed_at = now - milliseconds(crash.age_ms);
-  }
-  for (PartSuccess& success : evidence.successes) {
-    success.answered_at = now - milliseconds(success.age_ms);
-  }
-  for (BlockedPart& blocked : evidence.blocked) {
-    blocked.blocked_at = now - milliseconds(blocked.age_ms);
-  }
-}
-
-uint32_t CrashIdentifier(std::string_view server, uint64_t started) {
-  return static_cast<uint32_t>(XXH64(server.data(), server.size(), started));
-}
-
 void PartSuccessTable::Record(const PartKey& key, TimePoint at) {
   TimePoint& last = this->recent[key];
   last = std::max(last, at);
@@ -133,14 +85,6 @@
   return std::nullopt;
 }
 
-struct CrashAttribution::Candidate {
-  std::vector<CrashTimes> crashes;
-  std::set<uint32_t> identifiers;  ///< Of the crashes.
-  std::set<uint32_t> requests;
-  size_t position = 0;  ///< In the prompt; later parts are more specific.
-  bool answered_before = false;
-};
-
 Duration CrashAttribution::BlockTime(uint32_t times) {
   Duration time = kFirstBlockTime;
   for (uint32_t i = 1; i < times && time < kMaxBlockTime; ++i) {
@@ -452,105 +396,6 @@
   return longest;
 }
 
-CrashEvidence CrashAttribution::Report(TimePoint now) const {
-  CrashEvidence evidence;
-  for (const auto& [key, block] : this->blocks) {
-    if (this->IsBlocked(key, now) &&
-        evidence.blocked.size() < kMaxReportedBlocks) {
-      evidence.blocked.push_back({key, block.times, 0, block.since});
-    }
-  }
-  for (const auto& [key, answered] : this->ended_blocks) {
-    if (evidence.successes.size() < kMaxReportedSuccesses) {
-      evidence.successes.push_back({key, 0, answered});
-    }
-  }
-  if (!this->crashes.empty()) {
-    evidence.crashes = this->ReportedCrashes(now);
-    std::ranges::copy(this->ReportedSuccesses(),
-                      std::back_inserter(evidence.successes));
-  }
-  return evidence;
-}
-
-std::vector<CrashedRequest> CrashAttribution::ReportedCrashes(
-    TimePoint now) const {
-  // By the number of crashes that speak against the worst part, so that the
-  // parts nearest to a verdict are told first.
-  const auto candidates = this->Candidates(now);
-  std::vector<std::pair<size_t, CrashedRequest>> ranked;
-  for (const auto& [identifier, crash] : this->crashes) {
-    if (now - crash.at > kReportTime) {
-      continue;
-    }
-    for (const Exposure& exposure : crash.exposures) {
-      size_t worst = 0;
-      for (const uint64_t part : exposure.parts) {
-        const auto found = candidates.find({exposure.service, part});
-        if (found != candidates.end()) {
-          worst = std::max(worst, found->second.crashes.size());
-        }
-      }
-      if (worst > 0) {
-        ranked.emplace_back(worst, CrashedRequest{identifier, exposure.request,
-                                                  exposure.service,
-                                                  exposure.parts, 0, crash.at});
-      }
-    }
-  }
-  std::ranges::stable_sort(ranked, [](const auto& a, const auto& b) {
-    return std::tuple(a.first, a.second.crashed_at) >
-           std::tuple(b.first, b.second.crashed_at);
-  });
-  std::vector<CrashedRequest> reported;
-  for (auto& [worst, request] : ranked) {
-    if (reported.size() >= kMaxReportedCrashes) {
-      break;
-    }
-    reported.push_back(std::move(request));
-  }
-  return reported;
-}
-
-std::map<PartKey, size_t> CrashAttribution::CrashCounts() const {
-  std::map<PartKey, size_t> counts;
-  for (const auto& [identifier, crash] : this->crashes) {
-    if (this->IsExplained(crash)) {
-      continue;
-    }
-    std::set<PartKey> parts;
-    for (const Exposure& exposure : crash.exposures) {
-      for (const uint64_t part : exposure.parts) {
-        parts.insert({exposure.service, part});
-      }
-    }
-    for (const PartKey& key : parts) {
-      counts[key] += 1;
-    }
-  }
-  return counts;
-}
-
-std::vector<PartSuccess> CrashAttribution::ReportedSuccesses() const {
-  std::vector<std::pair<size_t, PartSuccess>> ranked;
-  for (const auto& [key, count] : this->CrashCounts()) {
-    const auto answered = this->successes.Last(key);
-    if (answered && count >= kMinCrashesToTell) {
-      ranked.emplace_back(count, PartSuccess{key, 0, *answered});
-    }
-  }
-  std::ranges::stable_sort(
-      ranked, [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<PartSuccess> reported;
-  for (const auto& [count, success] : ranked) {
-    if (reported.size() >= kMaxReportedSuccesses) {
-      break;
-    }
-    reported.push_back(success);
-  }
-  return reported;
-}
-
 void CrashAttribution::Expire(TimePoint now) {
   std::erase_if(this->crashes, [&](const auto& entry) {
     return now - entry.second.at > kEvidenceLifetime;
--- a/packages/serving/tests/crash_attribution_spread_test.cc
+++ b/packages/serving/tests/crash_attribution_spread_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "serving/crash_attribution_base.h"
+#include "serving/crash_evidence_func.h"
 
 namespace boragewharf::serving {
 namespace {
--- a/packages/serving/tests/crash_attribution_test.cc
+++ b/packages/serving/tests/crash_attribution_test.cc
@@ -3,6 +3,7 @@
  * Tests of the evidence against prompt parts that crash servers.
  */
 #include "serving/crash_attribution_base.h"
+#include "serving/crash_evidence_func.h"
 
 #include <gtest/gtest.h>
 
