End the largest response when buffered ones exceed their common limit

Cause: above the limit, the response that had just grown was ended only if it held no less than the average. Responses below the average grew on, so that the limit held only when a large one happened to be next. Change: while the sum exceeds the limit, the attempt that holds the most is ended, whichever grew; the log names it (buffer_limit_exceeded). A request that has ended frees what it holds at once.

--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -99,7 +99,8 @@
   /** Applies timeouts; called every kTickPeriod. */
   void CheckTime(TimePoint now);
 
-  /** Bytes of responses that are buffered until they are complete. */
+  /** Bytes of responses that are buffered until they are complete, and of
+   * unfinished events. */
   size_t BufferedBytes() const { return this->buffered_bytes; }
 
   /** Number of requests in progress. */
@@ -151,6 +152,10 @@
   /** Logs the parts that are no longer blocked. */
   void LogUnblocked(const std::vector<serving::PartKey>& parts);
 
+  /** While BufferedBytes() exceeds its limit, fails the attempt of the request
+   * that holds the most. */
+  void EnforceBufferLimit();
+
   /** Ends the requests that wait for a server and must not run any more. */
   void AbandonBlockedRequests();
 
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -38,6 +38,7 @@
 }  // namespace
 
 void Exchange::OnBody(std::string_view bytes) {
+  const auto self = this->shared_from_this();
   const TimePoint now = BootClock::now();
   const serving::ResponseFacts& facts = *this->attempt->facts;
   const bool streaming = this->IsStream() && facts.event_stream &&
@@ -50,10 +51,10 @@
   this->splitter.Append(bytes);
   this->ForwardEvents(now);
   this->CountEventBytes();
-  if (this->attempt && (this->event_bytes > kMaxEventBytes ||
-                        this->ExceedsBufferLimit(this->event_bytes))) {
+  if (this->attempt && this->event_bytes > kMaxEventBytes) {
     this->FailAttempt(AttemptFailure::kMalformed);
   }
+  this->core.EnforceBufferLimit();
 }
 
 void Exchange::CountEventBytes() {
@@ -63,9 +64,12 @@
   this->event_bytes = held;
 }
 
-bool Exchange::ExceedsBufferLimit(size_t own_bytes) const {
-  return this->core.buffered_bytes > TrafficCore::kMaxBufferedBytes &&
-         own_bytes * this->core.exchanges.size() >= this->core.buffered_bytes;
+void Exchange::FailForBufferLimit() {
+  this->core.log.Write(EventLevel::kWarning, "buffer_limit_exceeded",
+                       {{"id", this->request.facts.attempt_id},
+                        {"held_bytes", this->HeldBytes()},
+                        {"all_bytes", this->core.buffered_bytes}});
+  this->FailAttempt(AttemptFailure::kMalformed);
 }
 
 void Exchange::BufferBody(std::string_view bytes, TimePoint now) {
@@ -75,10 +79,10 @@
   }
   this->buffered.append(bytes);
   this->core.buffered_bytes += bytes.size();
-  if (this->buffered.size() > kMaxBufferedAnswer ||
-      this->ExceedsBufferLimit(this->buffered.size())) {
+  if (this->buffered.size() > kMaxBufferedAnswer) {
     this->FailAttempt(AttemptFailure::kMalformed);
   }
+  this->core.EnforceBufferLimit();
 }
 
 void Exchange::DropBuffered() {
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -60,6 +60,15 @@
   /** Ends the request if it would crash its server and has no event yet. */
   void AbandonIfBlocked();
 
+  /** Bytes of the response that are kept: buffered ones, and those of an
+   * unfinished event. They belong to the attempt; 0 without one. */
+  size_t HeldBytes() const { return this->buffered.size() + this->event_bytes; }
+
+  /** Fails the attempt, and so frees HeldBytes(), because the responses of all
+   * requests hold too much.
+   * @pre HeldBytes() > 0 */
+  void FailForBufferLimit();
+
   /** Applies timeouts, and moves the request away from a stopping server. */
   void CheckTime(TimePoint now);
 
@@ -150,9 +159,6 @@
   void DropBuffered();
   /** Updates the sum of buffered bytes by those of the unfinished event. */
   void CountEventBytes();
-  /** Whether all requests together hold too much of their responses, and this
-   * one no less than the average. */
-  bool ExceedsBufferLimit(size_t own_bytes) const;
   void FailAttempt(serving::AttemptFailure failure);
   void ForwardEvents(TimePoint now);
   /** Records that the first event of the attempt has arrived. */
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -105,6 +105,9 @@
     server_id = this->attempt->server->server.id;
     this->ReleaseAttempt();
   }
+  this->DropBuffered();
+  this->splitter.Reset();
+  this->CountEventBytes();
   const int64_t first_event =
       this->events > 0 ? Millis(this->first_event_at - this->arrived) : -1;
   this->core.log.Write(
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -411,6 +411,20 @@
   }
 }
 
+void TrafficCore::EnforceBufferLimit() {
+  while (this->buffered_bytes > kMaxBufferedBytes) {
+    const auto held = [](const auto& entry) {
+      return entry.second->HeldBytes();
+    };
+    const auto largest = std::ranges::max_element(this->exchanges, {}, held);
+    if (largest == this->exchanges.end() || held(*largest) == 0) {
+      return;
+    }
+    const std::shared_ptr<Exchange> exchange = largest->second;
+    exchange->FailForBufferLimit();
+  }
+}
+
 void TrafficCore::AbandonBlockedRequests() {
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(this->exchanges.size());
