Bound the framing of responses that the daemon reads

Cause: cpp-httplib collects each line until it ends, without a bound, and reads any number of interim responses. Change: BoundedHttpClient counts what the library reads between pieces of content and fails the read above 64 KiB. The connections to servers, the store and the cloud API use it. An error response of an engine is ended once its body exceeds what is kept; its status decides as before.

--- a/packages/store/src/http_channel_base.cc
+++ b/packages/store/src/http_channel_base.cc
@@ -4,8 +4,6 @@
  */
 #include "store/http_channel_base.h"
 
-#include <httplib.h>
-
 #include <condition_variable>
 #include <csignal>
 #include <map>
@@ -14,6 +12,7 @@
 
 #include "base/result_func.h"
 #include "base/scope_guard.h"
+#include "httpclient/bounded_client_base.h"
 
 namespace boragewharf {
 
@@ -32,7 +31,7 @@
     this->client.set_url_encode(false);
   }
 
-  httplib::Client client;
+  BoundedHttpClient client;
   TimePoint last_used;      ///< End of the last call.
   uint64_t generation = 0;  ///< Generation of the channel at its start.
   bool expired = false;     ///< Shut down; guarded by the watchdog's mutex.
@@ -156,7 +155,7 @@
   this->watchdog->Watch(*connection, BootClock::now() + this->options.timeout);
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  const bool answered = connection->client.send(request, response, error);
+  const bool answered = connection->client.Send(request, response, error);
   const bool expired = this->watchdog->Unwatch(*connection);
 
   if (expired) {
--- a/packages/traffic/include/traffic/connection_pool_base.h
+++ b/packages/traffic/include/traffic/connection_pool_base.h
@@ -4,8 +4,6 @@
  */
 #pragma once
 
-#include <httplib.h>
-
 #include <chrono>
 #include <map>
 #include <memory>
@@ -15,6 +13,7 @@
 
 #include "base/endpoint_type.h"
 #include "base/time_type.h"
+#include "httpclient/bounded_client_base.h"
 #include "traffic/policy_base.h"
 
 namespace boragewharf::traffic {
@@ -33,14 +32,14 @@
  public:
   ConnectionLease(ConnectionPool& owner,
                   Endpoint address,
-                  std::unique_ptr<httplib::Client> connection,
+                  std::unique_ptr<BoundedHttpClient> connection,
                   bool was_used);
   ConnectionLease(const ConnectionLease&) = delete;
   ConnectionLease& operator=(const ConnectionLease&) = delete;
   ~ConnectionLease();
 
   /** The client. stop() may be called from other threads. */
-  httplib::Client& Client() { return *this->client; }
+  BoundedHttpClient& Client() { return *this->client; }
 
   /** Whether it carried requests before, so the server may have closed it. */
   bool IsReused() const { return this->reused; }
@@ -57,7 +56,7 @@
  private:
   ConnectionPool& pool;
   const Endpoint endpoint;
-  std::unique_ptr<httplib::Client> client;
+  std::unique_ptr<BoundedHttpClient> client;
   const bool reused;
   bool reusable = false;
   bool failed = false;
@@ -82,14 +81,14 @@
 
  private:
   struct IdleClients {
-    std::vector<std::unique_ptr<httplib::Client>> clients;
+    std::vector<std::unique_ptr<BoundedHttpClient>> clients;
     TimePoint last_used;
   };
 
   friend class ConnectionLease;
   void CloseIdle(const Endpoint& endpoint);
   void GiveBack(const Endpoint& endpoint,
-                std::unique_ptr<httplib::Client> client);
+                std::unique_ptr<BoundedHttpClient> client);
 
   const ConnectionBounds bounds;
   std::mutex mutex;
--- a/packages/traffic/src/connection_pool_base.cc
+++ b/packages/traffic/src/connection_pool_base.cc
@@ -10,7 +10,7 @@
 
 ConnectionLease::ConnectionLease(ConnectionPool& owner,
                                  Endpoint address,
-                                 std::unique_ptr<httplib::Client> connection,
+                                 std::unique_ptr<BoundedHttpClient> connection,
                                  bool was_used)
     : pool(owner),
       endpoint(std::move(address)),
@@ -42,7 +42,8 @@
 
 std::unique_ptr<ConnectionLease> ConnectionPool::TakeFresh(
     const Endpoint& endpoint) {
-  auto client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
+  auto client =
+      std::make_unique<BoundedHttpClient>(endpoint.host, endpoint.port);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   client->set_decompress(false);
@@ -67,7 +68,7 @@
 }
 
 void ConnectionPool::GiveBack(const Endpoint& endpoint,
-                              std::unique_ptr<httplib::Client> client) {
+                              std::unique_ptr<BoundedHttpClient> client) {
   const std::lock_guard lock(this->mutex);
   IdleClients& entry = this->idle[endpoint];
   entry.last_used = BootClock::now();
--- a/packages/traffic/src/engine_attempt_func.cc
+++ b/packages/traffic/src/engine_attempt_func.cc
@@ -47,7 +47,9 @@
     if (this->status != kStatusOk) {
       this->error_body.append(
           bytes.substr(0, kMaxErrorBytes - this->error_body.size()));
-      return true;
+      // The status tells enough; the rest may never end.
+      this->error_cut = this->error_body.size() == kMaxErrorBytes;
+      return !this->error_cut;
     }
     const bool proceed = this->parser.Feed(
         bytes, [this](const SseEvent& event) { return this->Handle(event); });
@@ -122,7 +124,7 @@
       this->End();
       return AttemptResult::kDone;
     }
-    if (received_whole) {
+    if (received_whole || this->error_cut) {
       return this->ClassifyStatus();
     }
     if (error == httplib::Error::Connection ||
@@ -153,6 +155,7 @@
   TimePoint last_byte;
   int status = 0;
   std::string error_body;
+  bool error_cut = false;  ///< The error's body is longer than is kept.
   std::string fault;
   std::string finish_reason;
   bool ended = false;
@@ -178,7 +181,7 @@
                                        Stream& stream,
                                        const StreamAttempt& attempt,
                                        ConnectionLease& lease) {
-  httplib::Client& client = lease.Client();
+  BoundedHttpClient& client = lease.Client();
   if (!stream.SetInterrupt(attempt.number, [&client] { client.stop(); })) {
     return AttemptOutcome{AttemptResult::kFenced, {}, 0, {}};
   }
@@ -197,7 +200,7 @@
   };
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
-  const bool whole = client.send(request, response, error);
+  const bool whole = client.Send(request, response, error);
   AttemptOutcome outcome = receiver.Evaluate(whole, error);
   if (whole) {
     lease.KeepOpen();
--- a/packages/traffic/src/plain_relay_base.cc
+++ b/packages/traffic/src/plain_relay_base.cc
@@ -288,7 +288,7 @@
     return body.size() <= limit;
   };
   httplib::Error error = httplib::Error::Success;
-  sent.answered = lease->Client().send(request, sent.answer, error);
+  sent.answered = lease->Client().Send(request, sent.answer, error);
   BackendObservation observation{ObservationKind::kAnswered, server.instance,
                                  job.fingerprint, false};
   if (sent.answered) {
--- a/tests/standins/platform_client_test.cc
+++ b/tests/standins/platform_client_test.cc
@@ -15,6 +15,7 @@
 #include "base/result_func.h"
 #include "base/scope_guard.h"
 #include "platform_server.h"
+#include "standins/endless_standin_base.h"
 #include "store/http_cloud_api_base.h"
 #include "store/http_object_store_base.h"
 #include "store/store_instance_list_base.h"
@@ -280,6 +281,23 @@
   EXPECT_GE(BootClock::now() - start, milliseconds(200));
 }
 
+// Guards against a process that keeps what a store, or whatever answers in its
+// place, sends without end.
+TEST_F(PlatformClientTest, ResponseFramingWithoutEndIsBounded) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& start :
+       {std::string("HTTP/1.1 200 OK\r\nX: "), chunked, chunked + "1;a="}) {
+    standins::EndlessStandin endless(start, std::string(1000, '0'));
+    HttpChannelOptions options = OptionsFor(endless.Port());
+    options.timeout = std::chrono::seconds(10);
+    HttpObjectStore client(options, this->counters, 1);
+    ExpectFailure(ResultCode::kStoreUnavailable,
+                  [&] { return client.Read(this->key); });
+    EXPECT_LE(endless.SentBytes(), size_t{8} * 1024 * 1024);
+  }
+}
+
 /** Answers every request with prepared bytes, optionally one at a time. */
 class RawServer {
  public:
