Fix a finding of the linter

Cause: clang refuses a structured binding in a lambda, which g++ takes; was built and tested before the linter had come to the file. Change: the entry is captured instead; no change of behaviour. Measured: clang-tidy has no finding on crash_attribution_report.cc and crash_attribution_base.cc; serving_test links.

--- a/packages/serving/src/crash_attribution_report.cc
+++ b/packages/serving/src/crash_attribution_report.cc
@@ -94,11 +94,13 @@
     std::span<const CrashedRequest> told,
     TimePoint now) const {
   std::vector<ServerCrash> reported;
-  for (const auto& [identifier, crash] : this->crashes) {
-    const bool is_told = std::ranges::any_of(
-        told, [&](const auto& request) { return request.crash == identifier; });
+  for (const auto& entry : this->crashes) {
+    const Crash& crash = entry.second;
+    const bool is_told = std::ranges::any_of(told, [&](const auto& request) {
+      return request.crash == entry.first;
+    });
     if (crash.own && !is_told && now - crash.at <= kReportTime) {
-      reported.push_back({identifier, crash.service, 0, crash.at});
+      reported.push_back({entry.first, crash.service, 0, crash.at});
     }
   }
   std::ranges::sort(reported, std::greater(), &ServerCrash::crashed_at);
