Block crashing parts in time where few other requests are answered

Cause: the chance of a false verdict is estimated from the responses to other requests. With three of them, 0.001 is reached at the tenth crash only.

--- a/packages/serving/src/crash_attribution_base.cc
+++ b/packages/serving/src/crash_attribution_base.cc
@@ -39,9 +39,9 @@
 constexpr milliseconds kMinCrashSpan(500);
 
 /** Largest probability, for a verdict, that any of the suspect parts would
- * have failed as often if all were sound. A sound part that is blocked costs
- * far more than the one crash more that the proof may take. */
-constexpr double kMaxChance = 0.001;
+ * have failed as often if all were sound. Where few other requests are
+ * answered, a smaller one is reached too late for the bound on crashes. */
+constexpr double kMaxChance = 0.02;
 
 /** Responses of a service that are remembered. */
 constexpr size_t kMaxFirstEvents = 256;
