End requests in progress before what they use when a node is destroyed

Seen: AddressSanitizer reports a use after free in adapter_test, SmallResponsesBesideLargeOnesKeepTheBufferLimit: the test ends with requests in progress. Cause: the members of TrafficCore that a request uses when it ends (the demand by service) were destroyed before the list of requests. A process that ends with requests in progress can meet the same. Change: the destructor ends the requests first. Measured: the test failed with the sanitizer before and passes; all 10 tests of EndlessResponseTest and CrashingPartTest pass with it.

--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -87,7 +87,11 @@
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {}
 
-TrafficCore::~TrafficCore() = default;
+TrafficCore::~TrafficCore() {
+  // Requests in progress use the other members when they end.
+  this->waiting_for_config.clear();
+  this->exchanges.clear();
+}
 
 void TrafficCore::SetConfig(
     std::shared_ptr<const serving::ServingConfig> next) {
