End a call of which the framing arrives too slowly; bound boragewharfctl

Cause: The library's read timeout starts anew with each byte, so a head that arrives byte by byte holds a call of the daemon until 64 KiB have come. boragewharfctl read through the library's client, without any bound. Change: Framing that has begun has to end within twice the read timeout. boragewharfctl uses BoundedHttpClient and keeps at most 16 MiB of an answer. Seen: Before, SlowFramingMeetsTheReadTimeout was ended by the test after 5 s in five of five cases, and EndlessAnswerEndsTheCall did not end within 25 s. Measured: Both pass; SlowContentArrives shows that slow content still does.

--- a/packages/ctl/include/ctl/admin_client_base.h
+++ b/packages/ctl/include/ctl/admin_client_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -25,20 +26,23 @@
 
   /**
    * GET of @p path.
-   * @return Empty optional with kPeerUnreachable and the cause.
-   * @note Thread-safe. Blocks for at most the bounds of connect and read.
+   * @return Empty optional with the cause: kPeerUnreachable if nothing was
+   *     sent, kOutcomeUnknown if no whole answer of kMaxAnswerBytes arrived.
+   * @note Thread-safe.
    */
   std::optional<AdminAnswer> Get(const std::string& path) const;
 
   /**
    * POST of @p body to @p path.
-   * @return Empty optional with kPeerUnreachable if nothing was sent, and with
-   *     kOutcomeUnknown if no answer arrived after that.
+   * @return As Get().
    * @note As Get().
    */
   std::optional<AdminAnswer> Post(const std::string& path,
                                   const std::string& body) const;
 
+  /** Bytes of an answer's body. */
+  static constexpr size_t kMaxAnswerBytes = size_t{16} * 1024 * 1024;
+
  private:
   Endpoint endpoint;
   std::string key;  ///< Secret; sent, never printed.
--- a/packages/ctl/src/admin_client_base.cc
+++ b/packages/ctl/src/admin_client_base.cc
@@ -4,9 +4,10 @@
  */
 #include "ctl/admin_client_base.h"
 
-#include <httplib.h>
+#include <utility>
 
 #include "base/result_func.h"
+#include "httpclient/bounded_client_base.h"
 
 namespace boragewharf::ctl {
 
@@ -16,49 +17,55 @@
 /** A ticket is answered within 15 s; the rest is for a slow store. */
 constexpr time_t kReadSeconds = 30;
 
-httplib::Client MakeClient(const Endpoint& endpoint) {
-  httplib::Client client(endpoint.host, endpoint.port);
-  client.set_connection_timeout(kConnectSeconds);
-  client.set_read_timeout(kReadSeconds);
-  client.set_write_timeout(kConnectSeconds);
-  return client;
-}
-
-httplib::Headers KeyHeader(const std::string& key) {
-  return {{"Authorization", "Bearer " + key}};
-}
-
 bool NothingWasSent(httplib::Error error) {
   return error == httplib::Error::Connection ||
          error == httplib::Error::ConnectionTimeout ||
          error == httplib::Error::BindIPAddress;
 }
 
-std::optional<AdminAnswer> Convert(const httplib::Result& result,
-                                   const Endpoint& endpoint) {
-  if (result) {
-    return AdminAnswer{result->status, result->body};
+/** Sends a request to a daemon, which may be any program at its address. */
+std::optional<AdminAnswer> Call(const Endpoint& endpoint,
+                                httplib::Request request) {
+  BoundedHttpClient client(endpoint.host, endpoint.port);
+  client.set_connection_timeout(kConnectSeconds);
+  client.set_read_timeout(kReadSeconds);
+  client.set_write_timeout(kConnectSeconds);
+  AdminAnswer answer;
+  request.content_receiver = [&](const char* data, size_t length, uint64_t,
+                                 uint64_t) {
+    answer.body.append(data, length);
+    return answer.body.size() <= AdminClient::kMaxAnswerBytes;
+  };
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  if (client.Send(request, response, error)) {
+    answer.status = response.status;
+    return answer;
   }
-  const ResultCode code = NothingWasSent(result.error())
-                              ? ResultCode::kPeerUnreachable
-                              : ResultCode::kOutcomeUnknown;
-  return Fail(code,
-              ToString(endpoint) + ": " + httplib::to_string(result.error()));
+  const ResultCode code = NothingWasSent(error) ? ResultCode::kPeerUnreachable
+                                                : ResultCode::kOutcomeUnknown;
+  return Fail(code, ToString(endpoint) + ": " + httplib::to_string(error));
 }
 
 }  // namespace
 
 std::optional<AdminAnswer> AdminClient::Get(const std::string& path) const {
-  httplib::Client client = MakeClient(this->endpoint);
-  return Convert(client.Get(path, KeyHeader(this->key)), this->endpoint);
+  httplib::Request request;
+  request.method = "GET";
+  request.path = path;
+  request.set_header("Authorization", "Bearer " + this->key);
+  return Call(this->endpoint, std::move(request));
 }
 
 std::optional<AdminAnswer> AdminClient::Post(const std::string& path,
                                              const std::string& body) const {
-  httplib::Client client = MakeClient(this->endpoint);
-  return Convert(
-      client.Post(path, KeyHeader(this->key), body, "application/json"),
-      this->endpoint);
+  httplib::Request request;
+  request.method = "POST";
+  request.path = path;
+  request.body = body;
+  request.set_header("Authorization", "Bearer " + this->key);
+  request.set_header("Content-Type", "application/json");
+  return Call(this->endpoint, std::move(request));
 }
 
 }  // namespace boragewharf::ctl
--- a/packages/ctl/tests/ctl_test.cc
+++ b/packages/ctl/tests/ctl_test.cc
@@ -14,9 +14,12 @@
 
 #include "base/digest_func.h"
 #include "base/result_func.h"
+#include "base/time_type.h"
 #include "config/report_func.h"
+#include "ctl/admin_client_base.h"
 #include "ctl/command_func.h"
 #include "ctl/options_func.h"
+#include "standins/endless_standin_base.h"
 
 namespace boragewharf::ctl {
 namespace {
@@ -149,6 +152,28 @@
   EXPECT_TRUE(this->Printed("next:"));
 }
 
+// Guards against a program that reads for ever, into memory, from what answers
+// at the address of a daemon.
+TEST_F(CtlTest, EndlessAnswerEndsTheCall) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string part(1000, 'x');
+  for (const auto& [start, filler] :
+       {std::pair<std::string, std::string>{"HTTP/1.1 200 OK\r\nX: ", part},
+        {"HTTP/1.1 200 OK\r\n\r\n", part},
+        {head + "1;a=", part},
+        {head + "0\r\nX: ", part}}) {
+    const standins::EndlessStandin endless(start, filler);
+    const BootClock::time_point begin = BootClock::now();
+    EXPECT_EQ(this->RunWords({"--address",
+                              "127.0.0.1:" + std::to_string(endless.Port()),
+                              "--key-file", this->Path("key"), "status"}),
+              ExitCode::kUnreachable);
+    EXPECT_LT(BootClock::now() - begin, std::chrono::seconds(10));
+    EXPECT_LE(endless.SentBytes(), 2 * AdminClient::kMaxAnswerBytes);
+  }
+}
+
 TEST_F(CtlTest, RefusesUnusableCommandLines) {
   const std::vector<std::vector<std::string>> cases = {
       {},
--- a/packages/httpclient/include/httpclient/bounded_client_base.h
+++ b/packages/httpclient/include/httpclient/bounded_client_base.h
@@ -10,12 +10,16 @@
 #include <functional>
 #include <string>
 
+#include "base/time_type.h"
+
 namespace boragewharf {
 
 /**
  * Bounds what the library keeps of a response besides its content. The library
  * collects each line of a head, a chunk header or trailers until it ends, and
- * so reads for ever, into memory, from a server that never ends one.
+ * so reads for ever, into memory, from a server that never ends one. Its read
+ * timeout starts anew with each byte; here framing that has begun also has to
+ * end within twice that timeout.
  *
  * Not thread-safe, but for stop().
  */
@@ -28,7 +32,7 @@
    * @param request Its content_receiver gets the content, has to bound it, and
    *     is wrapped by this call.
    * @param error Of the library; Read also if more than kMaxFramingBytes came
-   *     without content.
+   *     without content, or framing took too long.
    * @return Whether the response has arrived whole.
    * @pre request.content_receiver is set.
    */
@@ -47,7 +51,8 @@
       const Socket& socket,
       std::function<bool(httplib::Stream& stream)> callback) override;
 
-  size_t framing_bytes = 0;  ///< Since the start, or the last content.
+  size_t framing_bytes = 0;   ///< Since the start, or the last content.
+  TimePoint framing_start{};  ///< Arrival of the first of them.
 };
 
 }  // namespace boragewharf
--- a/packages/httpclient/src/bounded_client_base.cc
+++ b/packages/httpclient/src/bounded_client_base.cc
@@ -6,17 +6,27 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstdint>
 #include <utility>
 
 namespace boragewharf {
 namespace {
 
-/** A stream whose reads fail once @p read_bytes exceeds the limit. */
+/**
+ * A stream whose reads fail once more bytes have been read than the limit, or
+ * more time has passed since the first of them. The owner sets the count back.
+ */
 class BoundedStream : public httplib::Stream {
  public:
-  BoundedStream(httplib::Stream& wrapped, size_t& counted_bytes, size_t limit)
-      : stream(wrapped), read_bytes(counted_bytes), max_bytes(limit) {}
+  BoundedStream(httplib::Stream& wrapped,
+                size_t& counted_bytes,
+                TimePoint& first_byte_time,
+                Duration time_limit)
+      : stream(wrapped),
+        read_bytes(counted_bytes),
+        first_time(first_byte_time),
+        max_time(time_limit) {}
 
   // httplib::Stream; the names are the library's.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -24,11 +34,16 @@
   bool is_writable() const override { return this->stream.is_writable(); }
 
   ssize_t read(char* target, size_t size) override {
-    if (this->read_bytes > this->max_bytes) {
+    if (this->read_bytes > BoundedHttpClient::kMaxFramingBytes ||
+        (this->read_bytes > 0 &&
+         BootClock::now() - this->first_time > this->max_time)) {
       return -1;
     }
     const ssize_t count = this->stream.read(target, size);
     if (count > 0) {
+      if (this->read_bytes == 0) {
+        this->first_time = BootClock::now();
+      }
       this->read_bytes += static_cast<size_t>(count);
     }
     return count;
@@ -52,7 +67,8 @@
  private:
   httplib::Stream& stream;
   size_t& read_bytes;
-  const size_t max_bytes;
+  TimePoint& first_time;
+  const Duration max_time;
 };
 
 }  // namespace
@@ -76,11 +92,15 @@
 bool BoundedHttpClient::process_socket(
     const Socket& socket,
     std::function<bool(httplib::Stream& stream)> callback) {
+  const Duration max_time =
+      2 * (std::chrono::seconds(this->read_timeout_sec_) +
+           std::chrono::microseconds(this->read_timeout_usec_));
   return httplib::detail::process_client_socket(
       socket.sock, this->read_timeout_sec_, this->read_timeout_usec_,
       this->write_timeout_sec_, this->write_timeout_usec_,
       [&](httplib::Stream& stream) {
-        BoundedStream bounded(stream, this->framing_bytes, kMaxFramingBytes);
+        BoundedStream bounded(stream, this->framing_bytes, this->framing_start,
+                              max_time);
         return callback(bounded);
       });
 }
--- a/packages/httpclient/tests/bounded_client_test.cc
+++ b/packages/httpclient/tests/bounded_client_test.cc
@@ -18,6 +18,7 @@
 namespace {
 
 using standins::EndlessStandin;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /** What a client and the buffers of sockets may take of a response. */
@@ -36,9 +37,11 @@
 };
 
 /** Calls a server, and gives up after @p patience. */
-Outcome Call(uint16_t port, Duration patience) {
+Outcome Call(uint16_t port,
+             Duration patience,
+             milliseconds read_timeout = seconds(20)) {
   BoundedHttpClient client("127.0.0.1", port);
-  client.set_read_timeout(seconds(20));
+  client.set_read_timeout(read_timeout);
   httplib::Request request;
   request.method = "GET";
   request.path = "/";
@@ -118,5 +121,28 @@
   EXPECT_EQ(outcome.content_bytes, kChunks);
 }
 
+// Guards against a call that lasts for hours because a byte arrives within each
+// read timeout.
+TEST(BoundedClientTimeTest, SlowFramingMeetsTheReadTimeout) {
+  constexpr milliseconds kReadTimeout(300);
+  for (const std::string& start :
+       {std::string("HTTP/1.1 200 "), kHead + "X: ", kChunkedHead + "0",
+        kChunkedHead + "4\r\nxxxx\r\n1;a=", kChunkedHead + "0\r\nX: "}) {
+    EndlessStandin server(start, "1", milliseconds(100));
+    const Outcome outcome = Call(server.Port(), seconds(5), kReadTimeout);
+    EXPECT_FALSE(outcome.whole);
+    EXPECT_LT(outcome.took, seconds(5)) << "ended by the client itself";
+  }
+}
+
+// Guards against a bound on time that ends slow but sound content.
+TEST(BoundedClientTimeTest, SlowContentArrives) {
+  constexpr milliseconds kReadTimeout(300);
+  EndlessStandin server(kChunkedHead, "1\r\nx\r\n", milliseconds(150));
+  const Outcome outcome = Call(server.Port(), seconds(2), kReadTimeout);
+  EXPECT_GE(outcome.took, seconds(2)) << httplib::to_string(outcome.error);
+  EXPECT_GE(outcome.content_bytes, 3U);
+}
+
 }  // namespace
 }  // namespace boragewharf
--- a/tests/standins/endless_standin_base.cc
+++ b/tests/standins/endless_standin_base.cc
@@ -23,9 +23,12 @@
 
 }  // namespace
 
-EndlessStandin::EndlessStandin(std::string first_bytes, std::string filler)
+EndlessStandin::EndlessStandin(std::string first_bytes,
+                               std::string filler,
+                               std::chrono::milliseconds pause_time)
     : initial_bytes(std::move(first_bytes)),
       repeated_bytes(std::move(filler)),
+      pause(pause_time),
       listener(socket(AF_INET, SOCK_STREAM, 0)) {
   setsockopt(this->listener.Get(), SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes,
              sizeof(kSendBufferBytes));
@@ -71,6 +74,7 @@
   this->active += 1;
   bool open = this->SendAll(connection.Get(), this->initial_bytes);
   while (open && !this->stopping) {
+    std::this_thread::sleep_for(this->pause);
     open = this->SendAll(connection.Get(), this->repeated_bytes);
   }
   this->active -= 1;
--- a/tests/standins/endless_standin_base.h
+++ b/tests/standins/endless_standin_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -21,8 +22,14 @@
  */
 class EndlessStandin {
  public:
-  /** Listens on a free port of 127.0.0.1. @param filler Not empty. */
-  EndlessStandin(std::string first_bytes, std::string filler);
+  /**
+   * Listens on a free port of 127.0.0.1.
+   * @param filler Not empty.
+   * @param pause_time Before each filler.
+   */
+  EndlessStandin(std::string first_bytes,
+                 std::string filler,
+                 std::chrono::milliseconds pause_time = {});
   EndlessStandin(const EndlessStandin&) = delete;
   EndlessStandin& operator=(const EndlessStandin&) = delete;
   ~EndlessStandin();
@@ -44,6 +51,7 @@
 
   const std::string initial_bytes;
   const std::string repeated_bytes;
+  const std::chrono::milliseconds pause;
   UniqueFd listener;
   uint16_t port = 0;
   std::atomic<bool> stopping{false};
