Start stand-ins only once they can serve

Cause: The stand-ins' Start() returned before the library had made its threads for connections: up to 1172 ms before, with the address sanitizer beside 12 busy processes. A server that is silent for 500 ms counts as failed in traffic_test, so the first request of a test failed. Change: Start() waits for the threads.

--- a/tests/standins/standin_server_base.cc
+++ b/tests/standins/standin_server_base.cc
@@ -25,7 +25,12 @@
 }  // namespace
 
 StandinServer::StandinServer(size_t threads) {
-  this->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  this->new_task_queue = [this, threads] {
+    auto* const pool = new httplib::ThreadPool(threads);
+    this->accepts = true;
+    this->accepts.notify_all();
+    return pool;
+  };
   this->set_socket_options(ReuseAddressOnly);
   this->set_tcp_nodelay(true);
   this->set_keep_alive_max_count(std::numeric_limits<size_t>::max());
@@ -51,6 +56,9 @@
   while (!this->is_running()) {
     std::this_thread::yield();
   }
+  // With a few hundred threads on a busy machine this takes longer than tests
+  // allow a server to be silent.
+  this->accepts.wait(false);
   return static_cast<uint16_t>(port);
 }
 
--- a/tests/standins/standin_server_base.h
+++ b/tests/standins/standin_server_base.h
@@ -6,6 +6,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -33,6 +34,7 @@
 
  private:
   std::thread listener;
+  std::atomic<bool> accepts{false};  ///< The threads for connections exist.
 };
 
 /** Answers with @p body as JSON. @note Thread-safe. */
