--- a/review/standins/lab_main.cc
+++ b/review/standins/lab_main.cc
@@ -16,8 +16,8 @@
   using boragewharf::review::CaseResult;
   const std::map<std::string_view, CaseResult (*)(const CaseOptions&)> cases = {
       {"moved-stream", boragewharf::review::RunMovedStream},
+      {"latin-attempt-id", boragewharf::review::RunLatinAttemptId},
       {"deadly-request", boragewharf::review::RunDeadlyRequest},
-      {"returning-node", boragewharf::review::RunReturningNode},
       {"paged-list", boragewharf::review::RunPagedList},
       {"refused-head", boragewharf::review::RunRefusedHead},
   };
--- a/review/standins/lab_replica.h
+++ b/review/standins/lab_replica.h
@@ -31,6 +31,7 @@
   uint32_t events = 0;  ///< Of a stream.
   std::chrono::milliseconds gap{100};
   bool unframed = false;  ///< Streams have no length and no chunks.
+  std::chrono::milliseconds work{15};  ///< Of a plain request.
 };
 
 class LabReplica : public httpio::RequestHandler {
@@ -48,6 +49,8 @@
   const std::string& Id() const { return this->plan.id; }
   const std::vector<Arrival>& Arrivals() const { return this->arrivals; }
   uint32_t Crashes() const { return this->crashes; }
+  /** Streams that it runs. */
+  size_t Running() const { return this->streams.size(); }
   uint32_t Moves() const { return this->moves; }
 
   void OnRequest(const ConnectionPtr& connection,
