--- a/review/standins/lab_case.cc
+++ b/review/standins/lab_case.cc
@@ -4,6 +4,7 @@
  */
 #include "lab_case.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -107,18 +108,32 @@
   return request;
 }
 
-/** A request for 60 events of 6 tokens. */
-LabRequest StreamRequest(const std::string& attempt_id, int number) {
+/** Events of a stream if nothing else is asked for. */
+constexpr uint32_t kEvents = 60;
+
+/** A request for events of 6 tokens. */
+LabRequest StreamRequest(const std::string& attempt_id,
+                         int number,
+                         uint32_t events = kEvents) {
   LabRequest request =
       PlainRequest("POST", "/answer/" + std::to_string(number), attempt_id);
   request.deadline_ms = 12000;
-  request.fields =
-      "Boragewharf-Model: m\r\nBoragewharf-Token-Counts: 300,360\r\n"
-      "Boragewharf-Prompt-Prefix: 5c1e07a2:100,91bd3f0" +
-      std::to_string(number) + ":200\r\n";
+  request.fields = "Boragewharf-Model: m\r\nBoragewharf-Token-Counts: 300," +
+                   std::to_string(6 * events) +
+                   "\r\nBoragewharf-Prompt-Prefix: 5c1e07a2:100,91bd3f0" +
+                   std::to_string(number) + ":200\r\n";
   return request;
 }
 
+uint32_t CountEvents(const LabResponse& response) {
+  uint32_t events = 0;
+  for (size_t at = response.body.find("id: "); at != std::string::npos;
+       at = response.body.find("id: ", at + 1)) {
+    events += 1;
+  }
+  return events;
+}
+
 /** Sends a request on a new connection. */
 LabResponse SendOnce(const Endpoint& node, const LabRequest& request) {
   LabChannel channel(node);
@@ -200,11 +215,11 @@
 
 /** Adds eight replicas of the model service, of which one is an eighth, in the
  * zone of the first node. */
-void AddEngines(Lab& lab, uint32_t events, bool unframed) {
+void AddEngines(Lab& lab, milliseconds gap, bool unframed) {
   constexpr int kEngines = 8;
   for (int i = 0; i < kEngines; ++i) {
-    lab.AddReplica({"i-llm-" + std::to_string(i), "llm", "zone-0", 48, events,
-                    milliseconds(80), unframed});
+    lab.AddReplica({"i-llm-" + std::to_string(i), "llm", "zone-0", 48, true,
+                    gap, unframed});
   }
 }
 
@@ -318,9 +333,8 @@
 
 CaseResult RunMovedStream(const CaseOptions& options) {
   Lab lab(options.program, options.directory, options.record);
-  constexpr uint32_t kEvents = 60;
   constexpr int kStreams = 16;
-  AddEngines(lab, kEvents, !options.framed);
+  AddEngines(lab, milliseconds(80), !options.framed);
   lab.loop.Run([&] { lab.store->Put("config", "main", MakeConfig()); });
   lab.PlanNodes(2);
   lab.AddNode(lab.store->Address());
@@ -350,11 +364,7 @@
   uint32_t broken_off = 0;
   for (int i = 0; i < kStreams; ++i) {
     const LabResponse& response = responses[i];
-    uint32_t events = 0;
-    for (size_t at = response.body.find("id: "); at != std::string::npos;
-         at = response.body.find("id: ", at + 1)) {
-      events += 1;
-    }
+    const uint32_t events = CountEvents(response);
     lab.record.Write("client: stream-" + std::to_string(i) + " status " +
                      std::to_string(response.status) + ", " +
                      std::to_string(events) + " of " + std::to_string(kEvents) +
@@ -384,9 +394,8 @@
 
 CaseResult RunLatinAttemptId(const CaseOptions& options) {
   Lab lab(options.program, options.directory, options.record);
-  constexpr uint32_t kEvents = 60;
   constexpr int kBookers = 10;
-  AddEngines(lab, kEvents, false);
+  AddEngines(lab, milliseconds(80), false);
   AddDesks(lab, 3, milliseconds(100));
   lab.loop.Run([&] { lab.store->Put("config", "main", MakeConfig()); });
   lab.PlanNodes(1);
@@ -627,49 +636,103 @@
   return late > 0 ? kBroken : kHeld;
 }
 
-CaseResult RunRefusedHead(const CaseOptions& options) {
+CaseResult RunStoppedStream(const CaseOptions& options) {
   Lab lab(options.program, options.directory, options.record);
-  AddDesks(lab, 3);
-  lab.loop.Run([&] {
-    // 200 tokens a request: 20 a second, where 11 are usual.
-    lab.store->Put("config", "main", MakeConfig(4000, 4000));
-  });
-  lab.PlanNodes(1);
+  AddEngines(lab, milliseconds(40), false);
+  lab.loop.Run([&] { lab.store->Put("config", "main", MakeConfig()); });
+  lab.PlanNodes(2);
+  lab.AddNode(lab.store->Address());
   lab.AddNode(lab.store->Address());
   if (!lab.StartNodes()) {
     return kNotRun;
   }
-  Sleep(seconds(3));
+  Sleep(seconds(4));
   const Endpoint node = lab.nodes[0]->Front();
-  if (options.trouble) {
-    // At most 7.5 times the usual, and for 6.5 s at most.
-    const auto end = Clock::now() + milliseconds(6500);
-    for (int i = 0; Clock::now() < end; ++i) {
-      const std::string id = "many-" + std::to_string(i);
-      const LabResponse response =
-          SendOnce(node, PlainRequest("GET", "/status/" + id, id));
-      if (response.status == 429) {
-        lab.record.Write("client: the tenant is over its allotment after " +
-                         std::to_string(i) + " requests");
-        break;
-      }
+  const auto send = [&](const std::string& id, int number, uint32_t events,
+                        uint32_t& whole) {
+    const int64_t sent = lab.record.Now();
+    const LabResponse response =
+        SendOnce(node, StreamRequest(id, number, events));
+    const uint32_t got = CountEvents(response);
+    lab.record.Write("client: " + id + " sent at " + std::to_string(sent) +
+                     " ms, status " + std::to_string(response.status) + ", " +
+                     std::to_string(got) + " of " + std::to_string(events) +
+                     " events, " +
+                     (response.complete ? "complete" : "cut off"));
+    whole += response.complete ? 1 : 0;
+    return response;
+  };
+  // Answers of the usual length.
+  constexpr uint32_t kUsualEvents = 48;
+  constexpr int kUsual = 12;
+  uint32_t whole = 0;
+  for (int i = 0; i < kUsual; i += 4) {
+    std::vector<uint32_t> counts(4);
+    std::vector<std::thread> clients;
+    clients.reserve(4);
+    for (int k = 0; k < 4; ++k) {
+      clients.emplace_back([&, i, k] {
+        send("usual-" + std::to_string(i + k), i + k, kUsualEvents, counts[k]);
+      });
     }
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    whole += counts[0] + counts[1] + counts[2] + counts[3];
   }
-  LabChannel channel(node);
-  channel.Send(Encode(PlainRequest("HEAD", "/status/a", "head-1")));
-  const LabResponse head = channel.Read(seconds(3), true);
-  lab.record.Write("client: HEAD, status " + std::to_string(head.status));
-  Sleep(seconds(2));
-  channel.Send(Encode(PlainRequest("GET", "/status/b", "get-1")));
-  const LabResponse next = channel.Read(seconds(3));
-  lab.record.Write(
-      "client: then GET on the same channel, status " +
-      std::to_string(next.status) +
-      (next.malformed ? ", bytes that are no answer: " + next.start : ""));
-  if (head.status == 0) {
+  if (whole < kUsual) {
     return kNotRun;
   }
-  return next.malformed ? kBroken : kHeld;
+  // A client asks where to connect, and keeps that for three times its ttl.
+  LabChannel directory({lab.nodes[0]->Ip(), lab.plan.ports.directory});
+  directory.Send(
+      "GET /v1/resolve?name=front.example&region=region-a&zone=zone-0 "
+      "HTTP/1.1\r\nHost: a\r\n\r\n");
+  lab.record.Write("client: the directory answers " +
+                   directory.Read(seconds(1)).body);
+  const int64_t stopped = lab.record.Now();
+  if (options.trouble) {
+    lab.nodes[0]->Signal(SIGTERM);
+  }
+  // Longer answers, within the longest of the sheet.
+  constexpr uint32_t kLongEvents = 150;
+  constexpr int kLong = 3;
+  constexpr int kBeside = 9;
+  uint32_t refused = 0;
+  uint32_t cut = 0;
+  std::vector<LabResponse> responses(kLong);
+  std::vector<std::thread> clients;
+  clients.reserve(kLong + kBeside);
+  // Usual answers go on beside them, one each 0.4 s.
+  for (int i = 0; i < kBeside; ++i) {
+    clients.emplace_back([&, i] {
+      Sleep(milliseconds(400 * i));
+      uint32_t unused = 0;
+      send("beside-" + std::to_string(i), 50 + i, kUsualEvents, unused);
+    });
+  }
+  for (int i = 0; i < kLong; ++i) {
+    clients.emplace_back([&, i] {
+      Sleep(milliseconds(3400 + 200 * i));
+      uint32_t unused = 0;
+      responses[i] =
+          send("long-" + std::to_string(i), 100 + i, kLongEvents, unused);
+    });
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  for (const LabResponse& response : responses) {
+    refused += response.status == 503 ? 1 : 0;
+    cut += response.status == 200 && !response.complete ? 1 : 0;
+  }
+  lab.nodes[0]->WaitForEnd(seconds(options.trouble ? 5 : 0));
+  RecordArrivals(lab, "long-");
+  lab.record.Write("long streams sent 3.4 to 3.8 s after " +
+                   std::to_string(stopped) + " ms: " + std::to_string(refused) +
+                   " refused, " + std::to_string(cut) +
+                   " taken and cut off without a complete answer");
+  return cut > 0 ? kBroken : kHeld;
 }
 
 }  // namespace boragewharf::review
--- a/review/standins/lab_case.h
+++ b/review/standins/lab_case.h
@@ -58,6 +58,6 @@
 CaseResult RunLatinAttemptId(const CaseOptions& options);
 CaseResult RunDeadlyRequest(const CaseOptions& options);
 CaseResult RunPagedList(const CaseOptions& options);
-CaseResult RunRefusedHead(const CaseOptions& options);
+CaseResult RunStoppedStream(const CaseOptions& options);
 
 }  // namespace boragewharf::review
--- a/review/standins/lab_main.cc
+++ b/review/standins/lab_main.cc
@@ -19,7 +19,7 @@
       {"latin-attempt-id", boragewharf::review::RunLatinAttemptId},
       {"deadly-request", boragewharf::review::RunDeadlyRequest},
       {"paged-list", boragewharf::review::RunPagedList},
-      {"refused-head", boragewharf::review::RunRefusedHead},
+      {"stopped-stream", boragewharf::review::RunStoppedStream},
   };
   constexpr int kArguments = 4;
   const auto found = argc == kArguments ? cases.find(argv[1]) : cases.end();
--- a/review/standins/lab_replica.cc
+++ b/review/standins/lab_replica.cc
@@ -4,6 +4,7 @@
  */
 #include "lab_replica.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <utility>
@@ -14,6 +15,9 @@
 using httpio::FindField;
 using std::chrono::milliseconds;
 
+/** Tokens of an event on ascb-wharf. */
+constexpr uint32_t kTokensPerEvent = 6;
+
 /** "The replica is back after some seconds". */
 constexpr milliseconds kDownTime(2000);
 
@@ -119,7 +123,7 @@
     this->Crash();
     return;
   }
-  if (this->plan.events > 0) {
+  if (this->plan.streams) {
     this->StartStream(connection, request, attempt);
     return;
   }
@@ -210,6 +214,13 @@
   uint32_t last_event = 0;
   std::from_chars(last.data(), last.data() + last.size(), last_event);
   stream->next_event = last_event + 1;
+  const std::string_view counts =
+      FindField(request.fields, "Boragewharf-Token-Counts");
+  const std::string_view output =
+      counts.substr(std::min(counts.size(), counts.find(',') + 1));
+  uint32_t tokens = 0;
+  std::from_chars(output.data(), output.data() + output.size(), tokens);
+  stream->events = tokens / kTokensPerEvent;
   stream->timer = std::make_shared<boost::asio::steady_timer>(this->loop);
   this->streams[connection.get()] = stream;
   this->record.Write("replica " + this->plan.id + " runs " + attempt_id +
@@ -228,7 +239,7 @@
   if (!this->streams.contains(stream->connection.get())) {
     return;
   }
-  if (stream->next_event > this->plan.events) {
+  if (stream->next_event > stream->events) {
     this->streams.erase(stream->connection.get());
     if (!this->plan.unframed) {
       stream->connection->Send("0\r\n\r\n");
--- a/review/standins/lab_replica.h
+++ b/review/standins/lab_replica.h
@@ -28,7 +28,7 @@
   std::string service;
   std::string zone;
   uint32_t slots = 6;
-  uint32_t events = 0;  ///< Of a stream.
+  bool streams = false;  ///< Answers with streams.
   std::chrono::milliseconds gap{100};
   bool unframed = false;  ///< Streams have no length and no chunks.
   std::chrono::milliseconds work{15};  ///< Of a plain request.
@@ -62,6 +62,7 @@
     ConnectionPtr connection;
     std::string attempt_id;
     uint32_t next_event = 1;
+    uint32_t events = 0;  ///< In all, by the request's output tokens.
     std::shared_ptr<boost::asio::steady_timer> timer;
   };
 
