--- a/review/standins/lab_case.cc
+++ b/review/standins/lab_case.cc
@@ -651,8 +651,7 @@
   const auto send = [&](const std::string& id, int number, uint32_t events,
                         uint32_t& whole) {
     const int64_t sent = lab.record.Now();
-    const LabResponse response =
-        SendOnce(node, StreamRequest(id, number, events));
+    LabResponse response = SendOnce(node, StreamRequest(id, number, events));
     const uint32_t got = CountEvents(response);
     lab.record.Write("client: " + id + " sent at " + std::to_string(sent) +
                      " ms, status " + std::to_string(response.status) + ", " +
