Take the end of a stopped stream's connection for no complete response

Cause: such a response ends with its connection, and the stop of the source closes that connection too. Exchange::OnComplete() did not know of the stop. Related: a stop that failed or was not answered before the close, and the state of a move, which outlived its attempt. Change: while the stop is in progress the end of the connection is recorded; the answer to the stop decides what it means, and without a clear answer the response counts as broken off. The state of a move is part of the attempt. The line "move" tells whether the call was sent and the source was still open. Evidence: on five of the nine unframed cases of MovedStreamCaseTest fail (0, 2, 3, 4, 5), all 18 pass now.

--- a/packages/relay/include/relay/request_wire_base.h
+++ b/packages/relay/include/relay/request_wire_base.h
@@ -25,8 +25,10 @@
 /** Decoded response to a MoveRequest. */
 struct MoveResponse {
   bool copied = false;  ///< The target has the complete copy.
-  bool ended = false;   ///< The request is not running at the source.
-  std::string handle;   ///< Identifies the copy; empty if there is none.
+  /** The source says that it did not stop the run: it had ended, or another
+   * move of it is in progress. */
+  bool not_stopped = false;
+  std::string handle;  ///< Identifies the copy; empty if there is none.
 };
 
 /** Stateless codec; implementations are thread-safe. */
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -187,6 +187,10 @@
 }
 
 void Exchange::OnComplete() {
+  if (this->attempt->ends_with_connection &&
+      this->RecordSourceEnd(SourceEnd::kClosed)) {
+    return;
+  }
   const serving::ResponseFacts facts = *this->attempt->facts;
   const bool rejected = facts.not_run || facts.status == 421;
   const bool success = facts.status / 100 == 2;
@@ -329,7 +333,7 @@
     }
     return;
   }
-  if (this->move.step == MoveStep::kStopping ||
+  if (this->attempt->move.step == MoveStep::kStopping ||
       now - this->attempt->last_progress < this->SilenceTimeout() ||
       !this->MayResend(now)) {
     return;
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -373,14 +373,9 @@
 }
 
 void Exchange::OnFailure(AttemptFailure failure) {
-  if (this->move.step == MoveStep::kStopping) {
-    this->move.source_closed = true;
-    if (this->move.stop_answered) {
-      this->ContinueFromMove();
-    }
-    return;
+  if (!this->RecordSourceEnd(SourceEnd::kBroken)) {
+    this->AfterFailure(failure);
   }
-  this->AfterFailure(failure);
 }
 
 void Exchange::AfterFailure(AttemptFailure failure) {
@@ -391,9 +386,6 @@
   if (!sent && failure == AttemptFailure::kConnectionLost) {
     failure = AttemptFailure::kNotSent;
   }
-  if (this->move.step == MoveStep::kCopying) {
-    this->move = Move{};  // The stream that was being moved has ended.
-  }
   // A server that asks for a pause works, it is only full.
   const bool paused = this->attempt->facts && this->attempt->facts->retry_after;
   if (!paused) {
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -90,6 +90,30 @@
                                ///< copies the prefix, or empty.
   };
 
+  /** Steps of moving a running stream to another server. A move starts only
+   * from kNone. */
+  enum class MoveStep : uint8_t { kNone, kCopying, kStopping, kEnded };
+
+  /** How the source has ended the response while it was asked to stop. */
+  enum class SourceEnd : uint8_t {
+    kOpen,
+    kBroken,
+    /** The connection was closed after a whole event, which ends a response
+     * without length, but the stop closes the connection as well. */
+    kClosed,
+  };
+
+  /** The move of the attempt's run to another server. */
+  struct Move {
+    MoveStep step = MoveStep::kNone;
+    std::shared_ptr<PooledServer> target;
+    std::string source_address;
+    std::string handle;
+    SourceEnd source_end = SourceEnd::kOpen;
+    bool stop_answered = false;     ///< The request with stop set was answered.
+    bool resume_at_source = false;  ///< The last copy failed.
+  };
+
   /** An attempt to have the request served by one server. */
   struct Attempt {
     std::shared_ptr<PooledServer> server;
@@ -107,20 +131,7 @@
     bool ends_with_connection = false;
     uint32_t prefill_tokens = 0;  ///< Still counted as load of the server.
     std::optional<serving::ResponseFacts> facts;
-  };
-
-  /** Steps of moving a running stream to another server. A move starts only
-   * from kNone. */
-  enum class MoveStep : uint8_t { kNone, kCopying, kStopping, kEnded };
-
-  struct Move {
-    MoveStep step = MoveStep::kNone;
-    std::shared_ptr<PooledServer> target;
-    std::string source_address;
-    std::string handle;
-    bool source_closed = false;     ///< The source has closed the stream.
-    bool stop_answered = false;     ///< The request with stop set was answered.
-    bool resume_at_source = false;  ///< The last copy failed.
+    Move move;
   };
 
   /** Ends the request if the client has closed its connection; returns whether
@@ -185,6 +196,12 @@
                        PooledServer& target,
                        const MoveResponse& answer);
   void OnMoveResponse(bool stop, const httpio::HttpResult& result);
+  void OnStopResponse(const MoveResponse& answer, bool was_sent);
+  /** Records the end of the response if the source may have been stopped;
+   * returns whether it may. */
+  bool RecordSourceEnd(SourceEnd end);
+  /** Ends a move whose source was not stopped. */
+  void AbandonMove();
   void ContinueFromMove();
 
   TrafficCore& core;
@@ -218,7 +235,6 @@
   serving::EventSplitter splitter;
   std::string buffered;
   size_t event_bytes = 0;  ///< See CountEventBytes().
-  Move move;
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -61,6 +61,9 @@
 void Exchange::OnClientDisconnected() {
   const auto self = this->shared_from_this();
   const TimePoint now = BootClock::now();
+  const MoveStep step =
+      this->attempt ? this->attempt->move.step : MoveStep::kNone;
+  const bool moving = step == MoveStep::kCopying || step == MoveStep::kStopping;
   std::string_view stage = "not_sent";
   if (this->attempt && this->attempt->sent) {
     stage = this->answer_started ? "answering" : "waiting";
@@ -72,8 +75,7 @@
       {{"id", this->request.facts.attempt_id},
        {"server", this->attempt ? this->attempt->server->server.id : ""},
        {"stage", stage},
-       {"moving", this->move.step == MoveStep::kCopying ||
-                      this->move.step == MoveStep::kStopping},
+       {"moving", moving},
        {"unacknowledged_bytes",
         this->attempt ? this->attempt->connection->UnacknowledgedBytes() : 0},
        {"server_silent_ms",
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -56,7 +56,8 @@
   const bool can_move = this->service != nullptr && this->service->engine &&
                         this->service->engine->moves;
   if (!can_move || !this->IsStream() || !server.stops_at ||
-      this->move.step != MoveStep::kNone || now < server.no_requests_until) {
+      this->attempt->move.step != MoveStep::kNone ||
+      now < server.no_requests_until) {
     return;
   }
   if (!this->attempt->first_event) {
@@ -73,27 +74,28 @@
 }
 
 void Exchange::StartMove() {
+  Move& move = this->attempt->move;
   this->excluded_servers.push_back(this->attempt->server->server.id);
-  this->move.target = this->ChooseServer();
+  move.target = this->ChooseServer();
   this->excluded_servers.pop_back();
-  const bool allowed =
-      this->move.target &&
-      this->core.budget.TakeRetry(this->service_name, this->core.nodes,
-                                  BootClock::now());
+  const bool allowed = move.target && this->core.budget.TakeRetry(
+                                          this->service_name, this->core.nodes,
+                                          BootClock::now());
   if (!allowed) {
-    this->move.step = MoveStep::kEnded;
+    move.step = MoveStep::kEnded;
     this->core.counters.Get("moves_total", "result=\"no_target\"").Add();
     return;
   }
-  this->move.step = MoveStep::kCopying;
-  this->move.source_address = ToString(this->attempt->server->server.address);
+  move.step = MoveStep::kCopying;
+  move.source_address = ToString(this->attempt->server->server.address);
   this->SendMoveRequest(false);
 }
 
 void Exchange::SendMoveRequest(bool stop) {
+  const std::shared_ptr<PooledServer> target = this->attempt->move.target;
   MoveRequest move_request;
   move_request.attempt_id = this->request.facts.attempt_id;
-  move_request.target_address = ToString(this->move.target->server.address);
+  move_request.target_address = ToString(target->server.address);
   move_request.stop = stop;
   httpio::InboundRequest encoded =
       this->core.codec.EncodeMoveRequest(move_request);
@@ -104,14 +106,13 @@
   call.body = std::move(encoded.body);
   call.timeout = kMoveTimeout;
   const auto on_response = [weak = this->weak_from_this(), &core = this->core,
-                            target = this->move.target, stop,
-                            sends =
-                                this->sends](const httpio::HttpResult& result) {
+                            target, stop, source = this->attempt->connection](
+                               const httpio::HttpResult& result) {
     const auto self = weak.lock();
     // The attempt may have failed in the meantime, and the request may have
     // been sent to another server.
-    if (self && !self->done && self->sends == sends &&
-        self->move.target == target) {
+    if (self && !self->done && self->attempt &&
+        self->attempt->connection == source) {
       self->OnMoveResponse(stop, result);
       return;
     }
@@ -148,6 +149,7 @@
 }
 
 void Exchange::OnMoveResponse(bool stop, const httpio::HttpResult& result) {
+  Move& move = this->attempt->move;
   MoveResponse answer;
   if (result.head) {
     answer =
@@ -155,35 +157,68 @@
   }
   this->core.log.Write(EventLevel::kInfo, "move",
                        {{"id", this->request.facts.attempt_id},
-                        {"source", this->move.source_address},
-                        {"target", this->move.target->server.id},
+                        {"source", move.source_address},
+                        {"target", move.target->server.id},
                         {"stop", stop},
+                        {"sent", result.sent_at.has_value()},
                         {"status", result.head ? result.head->status : 0},
                         {"copied", answer.copied},
-                        {"handle", answer.handle}});
-  if (!stop) {
-    if (!this->attempt || this->move.step != MoveStep::kCopying) {
-      return;
-    }
-    if (!answer.copied) {
-      this->move.step = MoveStep::kEnded;
-      return;
-    }
-    this->move.step = MoveStep::kStopping;
-    this->SendMoveRequest(true);
+                        {"handle", answer.handle},
+                        {"source_open", move.source_end == SourceEnd::kOpen},
+                        {"events", this->events}});
+  if (stop) {
+    this->OnStopResponse(answer, result.sent_at.has_value());
+    return;
+  }
+  if (!answer.copied) {
+    move.step = MoveStep::kEnded;
     return;
   }
-  this->move.stop_answered = true;
-  this->move.handle = answer.handle;
-  this->move.resume_at_source = !answer.copied;
-  if (answer.ended && !this->move.source_closed) {
-    // The request has finished at the source; its stream completes as usual.
-    this->move.step = MoveStep::kEnded;
+  move.step = MoveStep::kStopping;
+  this->SendMoveRequest(true);
+}
+
+void Exchange::OnStopResponse(const MoveResponse& answer, bool was_sent) {
+  Move& move = this->attempt->move;
+  move.stop_answered = true;
+  move.handle = answer.handle;
+  move.resume_at_source = !answer.copied;
+  if (answer.not_stopped || !was_sent) {
+    this->AbandonMove();
     return;
   }
-  if (this->move.source_closed || answer.copied) {
+  if (answer.copied || move.source_end != SourceEnd::kOpen) {
+    this->ContinueFromMove();
+  }
+}
+
+bool Exchange::RecordSourceEnd(SourceEnd end) {
+  Move& move = this->attempt->move;
+  if (move.step != MoveStep::kStopping) {
+    return false;
+  }
+  move.source_end = end;
+  if (move.stop_answered) {
     this->ContinueFromMove();
   }
+  return true;
+}
+
+void Exchange::AbandonMove() {
+  const auto self = this->shared_from_this();
+  Move& move = this->attempt->move;
+  move.step = MoveStep::kEnded;
+  this->core.counters.Get("moves_total", "result=\"not_stopped\"").Add();
+  switch (move.source_end) {
+    case SourceEnd::kOpen:
+      return;
+    case SourceEnd::kBroken:
+      this->AfterFailure(serving::AttemptFailure::kConnectionLost);
+      return;
+    case SourceEnd::kClosed:
+      this->CompleteStream();
+      return;
+  }
 }
 
 void Exchange::ContinueFromMove() {
@@ -191,18 +226,19 @@
   if (this->CancelIfClientGone()) {
     return;
   }
-  this->move.step = MoveStep::kEnded;
-  if (this->move.handle.empty()) {
+  Move& move = this->attempt->move;
+  move.step = MoveStep::kEnded;
+  if (move.handle.empty()) {
+    // Without an answer it is not known whether the run was stopped, so the end
+    // of its connection does not show that the response is complete.
     this->core.counters.Get("moves_total", "result=\"no_copy\"").Add();
     this->AfterFailure(serving::AttemptFailure::kConnectionLost);
     return;
   }
   const std::shared_ptr<PooledServer> target =
-      this->move.resume_at_source ? this->attempt->server : this->move.target;
-  const serving::MoveSource source{this->move.source_address,
-                                   this->move.handle};
+      move.resume_at_source ? this->attempt->server : move.target;
+  const serving::MoveSource source{move.source_address, move.handle};
   this->ReleaseAttempt();
-  this->move = Move{};
   this->core.counters.Get("moves_total", "result=\"continued\"").Add();
   this->SendTo(target, source);
 }
