Take no stream in a planned stop that may outlast the node

Cause: a stream was bounded by the longest of the last ones, whatever limit of output tokens these had; twelve with a limit of 48 events bounded one of 150. And any such bound is a guess, which is not needed while another node is ready. Change: while another node is ready, a stopping node takes a stream only if its deadline is before the stop, and refuses others with a Retry-After of 20 ms. The test HighLimitsDoNotExceedTheLongestStream fixed the fault: it let streams with a limit of 40 tokens bound one of 100,000.

--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -307,6 +307,7 @@
     }
   }
   summary.silent_share = static_cast<double>(silent) / summary.nodes;
+  summary.ready_nodes = static_cast<uint32_t>(this->Ready(period, now).size());
   // A node that has just started knows more addresses than it has received
   // messages from.
   summary.nodes =
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -358,6 +358,24 @@
   EXPECT_TRUE(LastNodesToStop(this->state, this->now).empty());
 }
 
+// Guards against refusing requests in a planned stop for the sake of nodes that
+// take none either.
+TEST_F(FleetTest, NodesThatLeaveOrAreSilentDoNotCountAsReady) {
+  this->Configure();
+  auto leaving = this->Message("10.0.0.3", 1);
+  leaving.status.leaving = true;
+  auto starting = this->Message("10.0.0.4", 1);
+  starting.status.ready = false;
+  for (const auto& message :
+       {this->Message("10.0.0.2", 1), leaving, starting}) {
+    this->Apply(PeerMessageReceived{message});
+  }
+  const Duration period = milliseconds(200);
+  EXPECT_EQ(this->state.peers.TakeSummary(period, this->now).ready_nodes, 1U);
+  this->now += seconds(2);
+  EXPECT_EQ(this->state.peers.TakeSummary(period, this->now).ready_nodes, 0U);
+}
+
 TEST_F(FleetTest, DuplicateAndReorderedDatagramsCountOnce) {
   this->Configure();
   auto message = this->Message("10.0.0.2", 5);
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -187,7 +187,8 @@
   std::map<std::string, serving::DurationEstimate>
       route_durations;  ///< By route, without streams.
   std::map<std::string, serving::StreamDurationEstimate>
-      stream_durations;  ///< By route.
+      stream_durations;      ///< By route.
+  uint32_t ready_nodes = 0;  ///< Other nodes that accept requests.
   uint32_t nodes = 1;
   std::map<std::string, serving::PrefillSpeedEstimate>
       prefill_estimates;  ///< Of this node, by service.
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -30,8 +30,11 @@
 /** Retry-After before the first configuration and server list are known. */
 constexpr Milliseconds kRetryAfterNotReady(500);
 
-/** Retry-After during a planned stop; the retry goes to another node, or to
- * this one after its restart. */
+/** Retry-After during a planned stop while other nodes are ready. */
+constexpr Milliseconds kRetryAfterOtherNode(20);
+
+/** Retry-After during a planned stop while no other node is ready; the retry
+ * goes to another node, or to this one after its restart. */
 constexpr Milliseconds kRetryAfterShutdown(500);
 
 /** Maximum idle time of a connection for a request that must not be repeated.
@@ -167,9 +170,12 @@
     return true;
   }
   const TimePoint now = BootClock::now();
+  // A stream that has begun can't be answered otherwise at the end of the node.
+  const bool others_ready = this->core.ready_nodes > 0;
   const serving::StopFacts facts{
       *this->core.shutdown_at - now, this->Deadline() - now,
-      this->core.ExpectedDuration(*this->route, this->request.facts)};
+      this->core.ExpectedDuration(*this->route, this->request.facts),
+      this->IsStream() && others_ready};
   if (serving::EndsBeforeStop(facts)) {
     return true;
   }
@@ -178,8 +184,10 @@
       {{"id", this->request.facts.attempt_id},
        {"left_ms", Millis(facts.left)},
        {"limit_ms", Millis(facts.limit)},
-       {"expected_ms", facts.expected ? Millis(*facts.expected) : -1}});
-  this->Refuse(503, kRetryAfterShutdown, "leaving");
+       {"expected_ms", facts.expected ? Millis(*facts.expected) : -1},
+       {"ready_nodes", this->core.ready_nodes}});
+  this->Refuse(503, others_ready ? kRetryAfterOtherNode : kRetryAfterShutdown,
+               "leaving");
   return false;
 }
 
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -211,6 +211,7 @@
 
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
   this->nodes = std::max<uint32_t>(1, summary.nodes);
+  this->ready_nodes = summary.ready_nodes;
   this->wall_offset_ms = summary.wall_offset_ms;
   this->quotas.SetNodes(this->nodes);
   if (summary.informed) {
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -171,6 +171,7 @@
 struct PeerSummary {
   bool informed = false;       ///< All known nodes have reported.
   uint32_t nodes = 1;          ///< Known nodes, this one included.
+  uint32_t ready_nodes = 0;    ///< Other nodes that accept requests.
   double silent_share = 0;     ///< Share of nodes that may be unreachable.
   int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
   /** Quota units admitted by other nodes since the last summary, by customer;
--- a/packages/serving/include/serving/planned_stop_base.h
+++ b/packages/serving/include/serving/planned_stop_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "base/time_type.h"
@@ -16,6 +17,9 @@
   Duration left{};   ///< Time until the node stops.
   Duration limit{};  ///< Longest time that the request may take.
   std::optional<Duration> expected;  ///< Expected duration; empty if unknown.
+  /** Only the limit counts, because a wrong expectation would cut off the
+   * response. */
+  bool must_be_certain = false;
 };
 
 /** Whether the request ends before its node stops. @note Thread-safe. */
@@ -47,11 +51,11 @@
 };
 
 /**
- * Estimates how long a stream takes at most: no longer than the longest of
- * those that were served lately, and no longer than its limit of output tokens
- * allows at their pace. A stream that the end of the node cuts can't be
- * completed by another one, and lengths spread too widely for averages. Not
- * thread-safe.
+ * Estimates how long a stream takes at most, from the streams that were served
+ * lately: as long as its limit of output tokens allows at their pace. If enough
+ * of them were allowed as many tokens, also no longer than the longest of
+ * these. A stream that the end of the node cuts can't be completed by another
+ * one, and lengths spread too widely for averages. Not thread-safe.
  */
 class StreamDurationEstimate {
  public:
@@ -61,22 +65,20 @@
   /**
    * Duration that a stream rarely exceeds, from its arrival.
    * @param max_output_tokens Its limit; 0 if it states none.
-   * @return Empty until enough streams have been served.
+   * @return Empty while too few streams are known that say anything of it.
    */
   std::optional<Duration> Bound(uint32_t max_output_tokens) const;
 
  private:
-  /** The longest of a number of streams. */
-  struct Longest {
-    uint32_t streams = 0;
-    Duration duration{};
-    double events_per_token = 0;  ///< Events per token of the limit.
-  };
+  /** Duration of the longest stream that was allowed at least as many tokens;
+   * empty if too few were. */
+  std::optional<Duration> LongestWithLimit(uint32_t max_output_tokens) const;
+  /** Duration up to the limit at the usual pace; empty if not known. */
+  std::optional<Duration> DurationOfLimit(uint32_t max_output_tokens) const;
 
   DurationEstimate first_event;
   DurationEstimate event_gap;  ///< Mean gap of a stream.
-  Longest current;
-  Longest previous;  ///< Of the streams before those in current.
+  std::deque<StreamCourse> recent;
 };
 
 }  // namespace boragewharf::serving
--- a/packages/serving/tests/planned_stop_test.cc
+++ b/packages/serving/tests/planned_stop_test.cc
@@ -28,6 +28,14 @@
       << "its deadline is before the stop";
 }
 
+// Guards against cutting off a response on a wrong estimate while other nodes
+// would have taken the request.
+TEST(EndsBeforeStopTest, EstimateDoesNotCountIfItMustBeCertain) {
+  EXPECT_FALSE(
+      EndsBeforeStop({seconds(5), seconds(12), milliseconds(500), true}));
+  EXPECT_TRUE(EndsBeforeStop({seconds(5), seconds(4), std::nullopt, true}));
+}
+
 // Guards against accepting a request after the node has ended all others.
 TEST(EndsBeforeStopTest, NothingIsAcceptedAfterTheStop) {
   EXPECT_FALSE(EndsBeforeStop({Duration(0), Duration(0), Duration(0)}));
@@ -77,9 +85,33 @@
 TEST(StreamDurationEstimateTest, HighLimitsDoNotExceedTheLongestStream) {
   StreamDurationEstimate estimate;
   for (int i = 0; i < 50; ++i) {
-    estimate.Add(StreamOf(20, 40));
+    estimate.Add(StreamOf(20, 100000));
   }
   EXPECT_LE(*estimate.Bound(100000), seconds(1));
+  EXPECT_LE(*estimate.Bound(40), seconds(1));
+}
+
+// Guards against taking a stream for no longer than those that were allowed
+// less: found as LOST by the review, where a stopping node that had served
+// streams of 48 events took some of 150 and cut them.
+TEST(StreamDurationEstimateTest, BoundCoversALimitAboveAllSeen) {
+  StreamDurationEstimate estimate;
+  for (int i = 0; i < 100; ++i) {
+    estimate.Add(StreamOf(20, 40));
+  }
+  const Duration of_long = milliseconds(200) + milliseconds(20) * 200;
+  EXPECT_GE(*estimate.Bound(400), of_long);
+  estimate.Add(StreamOf(30, 100000));
+  EXPECT_GE(*estimate.Bound(400), of_long) << "one stream proves little";
+}
+
+// A stream without a limit may be longer than all that had one.
+TEST(StreamDurationEstimateTest, StreamsWithALimitDoNotBoundOneWithout) {
+  StreamDurationEstimate estimate;
+  for (int i = 0; i < 100; ++i) {
+    estimate.Add(StreamOf(20, 40));
+  }
+  EXPECT_FALSE(estimate.Bound(0));
 }
 
 // Guards against refusing most streams of a planned stop because of a few slow
