Keep the crashes under a request on all nodes and in the store

Cause: crashes were counted by process and added up over the last datagrams, so that the first datagram of the next process replaced its count by none. Related: a block that ended was forgotten with its evidence, and a response that ended with its connection, as a crash can, cleared the count. Change: a crash is a fact with an id, held and told on by all nodes, the newest first and the others in turn, and saved by the duty holder. A response clears the crashes before it on all nodes. Nodes of earlier versions still get and give counts.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -146,6 +146,8 @@
   int64_t clock_wall_ms = 0;
   /** Parts of prompts that crash servers; ages as of the save. */
   std::vector<serving::BlockedPart> blocked_parts = {};
+  /** Crashes under requests; ages as of the save. */
+  serving::SuspectReport suspects = {};
 };
 
 /** The process was told to stop. */
@@ -250,6 +252,8 @@
   int64_t wall_ms = 0;
   /** Parts of prompts that crash servers; ages as of the save. */
   std::vector<serving::BlockedPart> blocked_parts = {};
+  /** Crashes under requests; ages as of the save. */
+  serving::SuspectReport suspects = {};
 };
 
 /** Read the saved progress. Completes with ProgressRead if any is stored. */
@@ -260,6 +264,11 @@
   std::vector<serving::BlockedPart> blocked;  ///< Ages as of now.
 };
 
+/** Hand saved crashes under requests to the data plane. */
+struct RestoreSuspects {
+  serving::SuspectReport suspects;  ///< Ages as of now.
+};
+
 /** Hand saved quota levels to the data plane. */
 struct RestoreQuotas {
   std::map<std::string, double> levels;
@@ -288,6 +297,7 @@
                             ReadProgress,
                             RestoreQuotas,
                             RestoreBlockedParts,
+                            RestoreSuspects,
                             LogChange>;
 
 // State.
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -168,6 +168,7 @@
   bool StartedBeforeThisProcess(const serving::NodeStatus& status,
                                 TimePoint now) const;
   void AddPrefixes(const serving::TrafficReport& report);
+  void AddSuspects(const serving::TrafficReport& report, TimePoint now);
 
   std::string self_ip;
   TimePoint started;
@@ -179,6 +180,8 @@
   Duration silent_after = Duration::max();
   /** Prefix sends reported since the last summary. */
   std::vector<serving::PrefixSend> prefixes;
+  /** Crashes under requests reported since the last summary. */
+  serving::SuspectReport suspects;
   /** Units by customer since the last summary. */
   std::map<serving::NameHash, double> admitted;
 };
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -12,6 +12,7 @@
 #include "lease/lease_func.h"
 #include "scaling_cmd.h"
 #include "serving/crash_evidence_func.h"
+#include "serving/crash_suspects_base.h"
 
 namespace boragewharf::fleet {
 namespace {
@@ -183,9 +184,13 @@
   evidence.blocked = state.report.crash_evidence.blocked;
   serving::SetAges(evidence, now);
   progress.blocked_parts = std::move(evidence.blocked);
+  if (state.report.suspects) {
+    progress.suspects = serving::SelectForSave(*state.report.suspects);
+    serving::SetAges(progress.suspects, now);
+  }
   if (now < state.next_save ||
       (progress.levels.empty() && progress.usage.empty() &&
-       progress.blocked_parts.empty())) {
+       progress.blocked_parts.empty() && progress.suspects.Empty())) {
     return;
   }
   state.next_save = now + kSavePeriod;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -278,6 +278,26 @@
                                  "", state.servers_revision});
 }
 
+/** Sum of an age at the save and the time since then. */
+uint32_t AgeNow(uint32_t age_ms, milliseconds since_save) {
+  const uint64_t total = age_ms + static_cast<uint64_t>(since_save.count());
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(total, std::numeric_limits<uint32_t>::max()));
+}
+
+void RestoreCrashes(const ProgressRead& read,
+                    milliseconds age,
+                    std::vector<Effect>& effects) {
+  if (read.suspects.Empty()) {
+    return;
+  }
+  RestoreSuspects restore{read.suspects};
+  for (serving::RequestCrash& crash : restore.suspects.crashes) {
+    crash.age_ms = AgeNow(crash.age_ms, age);
+  }
+  effects.emplace_back(std::move(restore));
+}
+
 void RestoreBlocks(const ProgressRead& read,
                    milliseconds age,
                    std::vector<Effect>& effects) {
@@ -286,9 +306,7 @@
   }
   RestoreBlockedParts restore{read.blocked_parts};
   for (serving::BlockedPart& blocked : restore.blocked) {
-    const uint64_t total = blocked.age_ms + static_cast<uint64_t>(age.count());
-    blocked.age_ms = static_cast<uint32_t>(
-        std::min<uint64_t>(total, std::numeric_limits<uint32_t>::max()));
+    blocked.age_ms = AgeNow(blocked.age_ms, age);
   }
   effects.emplace_back(std::move(restore));
 }
@@ -304,6 +322,7 @@
   milliseconds age(
       std::max<int64_t>(0, read.clock_wall_ms - read.saved_wall_ms));
   RestoreBlocks(read, age, effects);
+  RestoreCrashes(read, age, effects);
   if (now - state.started > kMaxUptimeForRestore) {
     return;  // This node's own levels are newer.
   }
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -4,9 +4,11 @@
  */
 #include "fleet/peer_table_base.h"
 #include "serving/crash_evidence_func.h"
+#include "serving/crash_suspects_base.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace boragewharf::fleet {
 namespace {
@@ -33,6 +35,9 @@
  * of a node that is slow to take summaries. */
 constexpr size_t kMaxPendingPrefixes = 8192;
 
+/** The same for crashes under requests. */
+constexpr size_t kMaxPendingSuspects = 8192;
+
 /** Smallest number of agreeing nodes that confirms a time of day. Two nodes are
  * not enough: if their clocks differ, either may be right. */
 constexpr size_t kMinAgreeingNodes = 3;
@@ -137,6 +142,7 @@
   }
   this->AddAdmitted(message, same_process ? &known->second : nullptr, now);
   this->AddPrefixes(message.report);
+  this->AddSuspects(message.report, now);
   if (!same_process) {
     this->last_new_process = now;
   }
@@ -152,6 +158,9 @@
   entry.status = status;
   entry.report = message.report;
   entry.report.prefixes.clear();
+  if (entry.report.suspects) {
+    *entry.report.suspects = {};
+  }
   serving::SetTimes(entry.report.crash_evidence, now);
   entry.last_message_at = now;
   return same_process ? ReceiveResult::kUpdate : ReceiveResult::kNewProcess;
@@ -205,6 +214,22 @@
   }
 }
 
+void PeerTable::AddSuspects(const serving::TrafficReport& report,
+                            TimePoint now) {
+  if (!report.suspects ||
+      this->suspects.crashes.size() >= kMaxPendingSuspects) {
+    return;
+  }
+  serving::SuspectReport received = *report.suspects;
+  serving::SetTimes(received, now);
+  this->suspects.crashes.insert(this->suspects.crashes.end(),
+                                received.crashes.begin(),
+                                received.crashes.end());
+  this->suspects.answers.insert(this->suspects.answers.end(),
+                                received.answers.begin(),
+                                received.answers.end());
+}
+
 void PeerTable::AddEstimatedUse(PeerEntry& entry, TimePoint now) {
   const std::chrono::duration<double> unreported =
       entry.status.leaving
@@ -286,8 +311,10 @@
       summary.crash_evidence.push_back(evidence);
     }
     this->AddEstimatedUse(entry, now);
-    for (const auto& [fingerprint, count] : entry.report.crashes) {
-      summary.crashes[fingerprint] += count;
+    if (!entry.report.suspects) {
+      for (const auto& [fingerprint, count] : entry.report.crashes) {
+        summary.crashes[fingerprint] += count;
+      }
     }
     for (serving::LeavingServer leaving : entry.report.leaving) {
       leaving.age_ms += static_cast<uint32_t>(
@@ -314,6 +341,7 @@
       std::max(summary.nodes, static_cast<uint32_t>(this->seeds.size()) + 1);
   summary.prefixes = std::move(this->prefixes);
   this->prefixes.clear();
+  summary.suspects = std::exchange(this->suspects, {});
   summary.admitted = std::move(this->admitted);
   this->admitted.clear();
   return summary;
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -11,6 +11,7 @@
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
 #include "serving/crash_evidence_func.h"
+#include "serving/crash_suspects_base.h"
 
 namespace boragewharf::fleet {
 namespace {
@@ -111,6 +112,11 @@
   }
   message.report.crash_evidence = state.report.crash_evidence;
   serving::SetAges(message.report.crash_evidence, now);
+  if (state.report.suspects) {
+    message.report.suspects =
+        serving::SelectForMessage(*state.report.suspects, state.sequence, now);
+    serving::SetAges(*message.report.suspects, now);
+  }
   message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
   while (!state.departures.empty() &&
          (now - state.departures.front().seen > kDepartureAnnounceTime ||
--- a/packages/fleet/tests/duty_test.cc
+++ b/packages/fleet/tests/duty_test.cc
@@ -170,6 +170,28 @@
   EXPECT_GE(restore->blocked[0].age_ms, 2000U);
 }
 
+// The same for requests: a request that crashes servers is refused after all
+// nodes were killed.
+TEST_F(DutyTest, CrashesOfRequestsOutlastARestartOfAllNodes) {
+  this->GainDuties();
+  serving::TrafficReport report;
+  report.suspects = {{{77, 5, 0, this->now}}, {}};
+  this->Apply(TrafficReported{report});
+  const auto save = this->RunUntil<SaveProgress>(seconds(3));
+  ASSERT_TRUE(save);
+  ASSERT_EQ(save->suspects.crashes.size(), 1U);
+  ProgressRead read;
+  read.saved_wall_ms = save->wall_ms;
+  read.clock_wall_ms = save->wall_ms + 2000;
+  read.suspects = save->suspects;
+  this->Apply(read);
+  const auto* restore = this->Find<RestoreSuspects>();
+  ASSERT_NE(restore, nullptr);
+  EXPECT_EQ(restore->suspects.crashes[0].request, 77U);
+  EXPECT_EQ(restore->suspects.crashes[0].id, 5U);
+  EXPECT_GE(restore->suspects.crashes[0].age_ms, 2000U);
+}
+
 // Scenario: all processes are killed in the middle of a usage window. Guards
 // against a report that lacks the requests from before (found as "usage of
 // window ... is off" in run trouble-3 on kbtc-wharf).
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -39,6 +39,7 @@
                                 Duration age) = 0;
   virtual void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) = 0;
+  virtual void OnSuspectsRestored(const serving::SuspectReport& suspects) = 0;
 };
 
 /** Response of an HTTP endpoint of the control loop. */
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -55,6 +55,7 @@
                         Duration age) override;
   void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) override;
+  void OnSuspectsRestored(const serving::SuspectReport& suspects) override;
   void WaitForSignal();
   void ReloadSettings();
   void BeginShutdown();
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -226,6 +226,9 @@
           [&](const fleet::RestoreBlockedParts& restore) {
             this->state_listener.OnBlockedPartsRestored(restore.blocked);
           },
+          [&](const fleet::RestoreSuspects& restore) {
+            this->state_listener.OnSuspectsRestored(restore.suspects);
+          },
           [&](const fleet::LogChange& change) {
             this->log.Write(
                 EventLevel::kInfo, change.event,
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -172,6 +172,14 @@
   });
 }
 
+void Node::OnSuspectsRestored(const serving::SuspectReport& suspects) {
+  asio::post(this->traffic_loop, [this, saved = suspects]() mutable {
+    const TimePoint now = BootClock::now();
+    serving::SetTimes(saved, now);
+    this->traffic->MergeSuspects(saved, now);
+  });
+}
+
 void Node::WaitForSignal() {
   this->signals.async_wait(
       [this](const boost::system::error_code& error, int number) {
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -85,7 +85,8 @@
     archive(message,
             serving::PeerMessageTail{message.report.leaving,
                                      message.report.prefill_speeds},
-            message.report.crash_evidence);
+            message.report.crash_evidence,
+            message.report.suspects.value_or(serving::SuspectReport{}));
   }
   return stream.str();
 }
@@ -104,6 +105,9 @@
     if (!reader.AtEnd()) {
       reader(message.report.crash_evidence);
     }
+    if (!reader.AtEnd()) {
+      reader(message.report.suspects.emplace());
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;  // As in Decode().
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -70,6 +70,20 @@
   return stream.str();
 }
 
+/** Encodes the message with that evidence, but without the crashes under
+ * requests that a later version added after it. */
+std::string EncodeWithoutSuspects(const serving::PeerMessage& message) {
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message,
+            serving::PeerMessageTail{message.report.leaving,
+                                     message.report.prefill_speeds},
+            message.report.crash_evidence);
+  }
+  return stream.str();
+}
+
 TEST(PeerCodecTest, MessagesRoundTripAndTruncationIsDetected) {
   serving::PeerMessage message;
   message.format = serving::kPeerFormat;
@@ -81,6 +95,7 @@
                                    {{{7, 8}, 9, {}}},
                                    {{{10, 11}, 12, 13, {}}},
                                    {{14, 15, 16, {}}}};
+  message.report.suspects = {{{17, 18, 19, {}}}, {{20, 21, {}}}};
   const std::string bytes = EncodePeerMessage(message);
   const auto decoded = DecodePeerMessage(bytes);
   ASSERT_TRUE(decoded);
@@ -98,12 +113,20 @@
   EXPECT_EQ(evidence.blocked[0].times, 12U);
   ASSERT_EQ(evidence.other_crashes.size(), 1U);
   EXPECT_EQ(evidence.other_crashes[0].age_ms, 16U);
-  // Only the messages of the two earlier versions are complete.
+  ASSERT_TRUE(decoded->report.suspects);
+  ASSERT_EQ(decoded->report.suspects->crashes.size(), 1U);
+  EXPECT_EQ(decoded->report.suspects->crashes[0].id, 18U);
+  ASSERT_EQ(decoded->report.suspects->answers.size(), 1U);
+  EXPECT_EQ(decoded->report.suspects->answers[0].age_ms, 21U);
+  // Only the messages of the three earlier versions are complete.
   const size_t without_tail = EncodeWithoutTail(message).size();
   const size_t without_evidence = EncodeWithoutEvidence(message).size();
+  const size_t without_suspects = EncodeWithoutSuspects(message).size();
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
     const auto part = DecodePeerMessage(bytes.substr(0, cut));
-    EXPECT_EQ(part.has_value(), cut == without_tail || cut == without_evidence)
+    EXPECT_EQ(part.has_value(), cut == without_tail ||
+                                    cut == without_evidence ||
+                                    cut == without_suspects)
         << cut;
   }
 }
@@ -123,6 +146,10 @@
   ASSERT_TRUE(previous);
   EXPECT_EQ(previous->report.leaving.size(), 1U);
   EXPECT_TRUE(previous->report.crash_evidence.blocked.empty());
+  const auto latest = DecodePeerMessage(EncodeWithoutSuspects(message));
+  ASSERT_TRUE(latest);
+  EXPECT_EQ(latest->report.crash_evidence.blocked.size(), 1U);
+  EXPECT_FALSE(latest->report.suspects);
   // Earlier versions read their own fields and ignore what follows.
   std::istringstream stream(EncodePeerMessage(message), std::ios::binary);
   cereal::PortableBinaryInputArchive archive(stream);
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -75,6 +75,10 @@
   /** Applies the merged reports of the other nodes. */
   void SetPeers(const serving::PeerSummary& summary);
 
+  /** Adds crashes under requests that other nodes have told or saved, with
+   * local times. */
+  void MergeSuspects(const serving::SuspectReport& told, TimePoint now);
+
   /** Merges what other nodes, or a save, tell of parts that crash servers. */
   void MergeCrashEvidence(const serving::CrashEvidence& evidence);
 
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -223,9 +223,9 @@
     return;
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
-  this->core.suspects.ClearCrashes(this->fingerprint);
   if (!this->attempt->ends_with_connection) {
     // A crash can end such a connection like a complete response.
+    this->core.suspects.ClearCrashes(this->fingerprint, BootClock::now());
     this->ExonerateParts(BootClock::now());
   }
   this->SendStreamHead();
@@ -239,7 +239,10 @@
     this->usage_counted = true;
     this->core.CountUsage(this->customer->name, this->attempt->started);
   }
-  this->core.suspects.ClearCrashes(this->fingerprint);
+  if (!this->attempt->ends_with_connection) {
+    // As in CompleteStream().
+    this->core.suspects.ClearCrashes(this->fingerprint, BootClock::now());
+  }
   if (facts.status >= 500) {
     this->AfterFailure(AttemptFailure::kServerError);
     return;
--- a/packages/relay/src/exchange_crash.cc
+++ b/packages/relay/src/exchange_crash.cc
@@ -30,7 +30,7 @@
 }
 
 bool Exchange::CrashesServers(TimePoint now) const {
-  return this->core.suspects.IsBlocked(this->fingerprint) ||
+  return this->core.suspects.IsBlocked(this->fingerprint, now) ||
          this->PartsBlockedFor(now);
 }
 
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -221,6 +221,7 @@
   this->pool.UpdatePeerLoads(summary.loads, BootClock::now());
   this->pool.UpdatePeerPrefixes(summary.prefixes, BootClock::now());
   this->suspects.SetRemote(summary.crashes);
+  this->MergeSuspects(summary.suspects, BootClock::now());
   this->crash_settle_time = std::min<Duration>(
       kSettlePeriods * summary.message_period, kMaxSettleTime);
   for (const serving::CrashEvidence& evidence : summary.crash_evidence) {
@@ -322,6 +323,7 @@
     }
   }
   report.crashes = this->suspects.Report(now);
+  report.suspects = this->suspects.All(now);
   report.crash_evidence = this->crash_attribution.Report(now);
   report.prefixes.assign(this->pool.OwnPrefixes().begin(),
                          this->pool.OwnPrefixes().end());
@@ -373,7 +375,7 @@
          {"fingerprint", std::to_string(request.fingerprint)},
          {"shared_parts", JoinIds(request.shared_parts)},
          {"confirmed_after_ms", Millis(now - request.broken_at)},
-         {"refused", this->suspects.IsBlocked(request.fingerprint)}});
+         {"refused", this->suspects.IsBlocked(request.fingerprint, now)}});
   }
 }
 
@@ -394,6 +396,14 @@
   }
 }
 
+void TrafficCore::MergeSuspects(const serving::SuspectReport& told,
+                                TimePoint now) {
+  for (const uint64_t fingerprint : this->suspects.Merge(told, now)) {
+    this->log.Write(EventLevel::kWarning, "request_block_adopted",
+                    {{"fingerprint", std::to_string(fingerprint)}});
+  }
+}
+
 void TrafficCore::MergeCrashEvidence(const serving::CrashEvidence& evidence) {
   const auto changes =
       this->crash_attribution.Merge(evidence, BootClock::now());
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -6,12 +6,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/time_type.h"
 #include "serving/crash_evidence_type.h"
+#include "serving/crash_suspects_type.h"
 #include "serving/prefill_speed_base.h"
 
 namespace boragewharf::serving {
@@ -84,13 +86,18 @@
   std::map<NameHash, ServerLoad> loads;  ///< By server; only those with load.
   std::map<NameHash, ServiceDemand> demand;  ///< By service.
   std::map<int64_t, UsageCounts> usage;  ///< By window; recent windows only.
-  std::map<uint64_t, uint32_t> crashes;  ///< By request fingerprint.
-  std::vector<PrefixSend> prefixes;      ///< Recent prefixes.
+  /** Crashes that this node has seen, by request fingerprint; for nodes of
+   * earlier versions. */
+  std::map<uint64_t, uint32_t> crashes;
+  std::vector<PrefixSend> prefixes;            ///< Recent prefixes.
   std::map<std::string, double> quota_levels;  ///< By customer; not sent.
   std::vector<LeavingServer> leaving;          ///< Sent in PeerMessageTail.
   /** By service; sent in PeerMessageTail. */
   std::map<NameHash, PrefillSpeed> prefill_speeds;
   CrashEvidence crash_evidence;  ///< Sent after PeerMessageTail.
+  /** Sent after crash_evidence, in parts; empty if an earlier version sent the
+   * message. */
+  std::optional<SuspectReport> suspects;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -178,7 +185,11 @@
    * negative to correct an earlier estimate that was too high. */
   std::map<NameHash, double> admitted;
   std::map<NameHash, ServerLoad> loads;  ///< Sum of all other nodes.
-  std::map<uint64_t, uint32_t> crashes;  ///< Sum of all other nodes.
+  /** Sum of the nodes that send no SuspectReport. */
+  std::map<uint64_t, uint32_t> crashes;
+  /** Of all nodes since the last summary, with times of the local boot clock.
+   */
+  SuspectReport suspects;
   std::vector<PrefixSend> prefixes;  ///< Of all nodes, since the last summary.
   std::vector<LeavingServer> leaving;  ///< Of all nodes; ages as of now.
   /** Prompt tokens per millisecond of a server, by service, as all nodes have
--- a/packages/serving/tests/retry_test.cc
+++ b/packages/serving/tests/retry_test.cc
@@ -4,7 +4,6 @@
  */
 #include <gtest/gtest.h>
 
-#include "serving/crash_suspects_base.h"
 #include "serving/retry_base.h"
 
 namespace boragewharf::serving {
@@ -103,31 +102,5 @@
   EXPECT_FALSE(budget.TakeRetry("unknown", 1, start));
 }
 
-// A request crashes each server that runs it, and the client sends it again.
-TEST(CrashSuspectsTest, ThirdCrashOnAnyNodeBlocksTheRequest) {
-  const uint64_t fingerprint = RequestFingerprint("school", "/a", "body");
-  CrashSuspects suspects;
-  const TimePoint now{seconds(100)};
-  suspects.CountCrash(fingerprint, now);
-  EXPECT_FALSE(suspects.IsBlocked(fingerprint));
-  suspects.SetRemote({{fingerprint, 2}});
-  EXPECT_TRUE(suspects.IsBlocked(fingerprint));
-  EXPECT_FALSE(suspects.IsBlocked(RequestFingerprint("school", "/a", "other")));
-  suspects.ClearCrashes(fingerprint);
-  EXPECT_FALSE(suspects.IsBlocked(fingerprint));
-}
-
-TEST(CrashSuspectsTest, ReportIsBoundedAndPrefersFrequentCrashes) {
-  CrashSuspects suspects;
-  const TimePoint now{seconds(100)};
-  for (uint64_t request = 0; request < 1000; ++request) {
-    suspects.CountCrash(request, now + seconds(request / 100));
-  }
-  suspects.CountCrash(999, now + seconds(10));
-  const auto report = suspects.Report(now + seconds(10));
-  EXPECT_LE(report.size(), 16U);
-  EXPECT_TRUE(report.contains(999));
-}
-
 }  // namespace
 }  // namespace boragewharf::serving
