--- a/packages/serving/src/crash_suspects_base.cc
+++ b/packages/serving/src/crash_suspects_base.cc
@@ -276,8 +276,8 @@
   if (!left.empty()) {
     // Hashed, as some nodes only get each second message.
     const uint64_t start = XXH64(&turn, sizeof(turn), 0) % left.size();
-    std::ranges::rotate(left,
-                        left.begin() + static_cast<std::ptrdiff_t>(start));
+    std::rotate(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(start),
+                left.end());
   }
   TakeGroups(all, left.begin(), left.end(), kMaxToldCrashes, selected.crashes);
   selected.answers = all.answers;
