Tell single crashes to new processes only

The loss of whole zones leaves a single crash for thousands of sound requests, and these were repeated to all nodes and saved. Change: crashes of a request with a single one go to new processes, and to nodes that were silent, after all others; they are neither repeated to all nodes nor saved. Crashes that a node has just seen are told in turn if they are too many.

--- a/packages/serving/src/crash_suspects_base.cc
+++ b/packages/serving/src/crash_suspects_base.cc
@@ -46,6 +46,11 @@
  * periods. The same holds for responses. */
 constexpr std::chrono::seconds kNewCrashTime(5);
 
+/** Crashes from which on a request is told again to all nodes, and saved.
+ * Losses of whole zones leave a single crash for thousands of sound requests.
+ */
+constexpr size_t kMinCrashesToKeep = 2;
+
 /** Messages after which older crashes are told again. More often costs more
  * traffic between regions than all else that nodes tell each other. */
 constexpr uint64_t kTurnsBetweenRepeats = 16;
@@ -83,14 +88,12 @@
   return groups;
 }
 
-/** Copies groups from @p first on, as long as they fit.
- * @return The first group that was not copied. */
-std::vector<SuspectGroup>::const_iterator TakeGroups(
-    const SuspectReport& report,
-    std::vector<SuspectGroup>::const_iterator first,
-    std::vector<SuspectGroup>::const_iterator last,
-    size_t max_crashes,
-    std::vector<RequestCrash>& taken) {
+/** Copies groups from @p first on, as long as they fit. */
+void TakeGroups(const SuspectReport& report,
+                std::vector<SuspectGroup>::const_iterator first,
+                std::vector<SuspectGroup>::const_iterator last,
+                size_t max_crashes,
+                std::vector<RequestCrash>& taken) {
   while (first != last && taken.size() + first->size <= max_crashes) {
     const auto begin =
         report.crashes.begin() + static_cast<std::ptrdiff_t>(first->begin);
@@ -98,7 +101,6 @@
                  begin + static_cast<std::ptrdiff_t>(first->size));
     ++first;
   }
-  return first;
 }
 
 uint32_t AgeMs(TimePoint at, TimePoint now) {
@@ -283,23 +285,40 @@
                                bool to_newcomer,
                                TimePoint now) {
   std::vector<SuspectGroup> groups = GroupsOf(all);
-  const auto is_new = [&](const SuspectGroup& group) {
-    return group.last_own && now - *group.last_own <= kNewCrashTime;
+  // Hashed, as some nodes only get each second message.
+  const uint64_t start = XXH64(&turn, sizeof(turn), 0);
+  const auto rotate = [&](std::vector<SuspectGroup>& list) {
+    if (!list.empty()) {
+      std::rotate(
+          list.begin(),
+          list.begin() + static_cast<std::ptrdiff_t>(start % list.size()),
+          list.end());
+    }
   };
-  const auto first_old =
-      std::stable_partition(groups.begin(), groups.end(), is_new);
-  std::ranges::stable_sort(groups.begin(), first_old, std::ranges::greater(),
-                           &SuspectGroup::last);
+  std::vector<SuspectGroup> seen_lately;
+  std::vector<SuspectGroup> repeated;
+  std::vector<SuspectGroup> single;
+  for (const SuspectGroup& group : groups) {
+    if (group.last_own && now - *group.last_own <= kNewCrashTime) {
+      seen_lately.push_back(group);
+    } else if (group.size >= kMinCrashesToKeep) {
+      repeated.push_back(group);
+    } else {
+      single.push_back(group);
+    }
+  }
+  rotate(seen_lately);
+  rotate(repeated);
+  rotate(single);
   SuspectReport selected;
-  const auto first_left = TakeGroups(all, groups.begin(), first_old,
-                                     kMaxToldNewCrashes, selected.crashes);
-  std::vector<SuspectGroup> left(first_left, groups.cend());
-  if (!left.empty() && (to_newcomer || turn % kTurnsBetweenRepeats == 0)) {
-    // Hashed, as some nodes only get each second message.
-    const uint64_t start = XXH64(&turn, sizeof(turn), 0) % left.size();
-    std::rotate(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(start),
-                left.end());
-    TakeGroups(all, left.begin(), left.end(), kMaxToldCrashes,
+  TakeGroups(all, seen_lately.begin(), seen_lately.end(), kMaxToldNewCrashes,
+             selected.crashes);
+  if (to_newcomer || turn % kTurnsBetweenRepeats == 0) {
+    TakeGroups(all, repeated.begin(), repeated.end(), kMaxToldCrashes,
+               selected.crashes);
+  }
+  if (to_newcomer) {
+    TakeGroups(all, single.begin(), single.end(), kMaxToldCrashes,
                selected.crashes);
   }
   std::ranges::copy_if(all.answers, std::back_inserter(selected.answers),
@@ -314,6 +333,9 @@
 
 SuspectReport SelectForSave(const SuspectReport& all) {
   std::vector<SuspectGroup> groups = GroupsOf(all);
+  std::erase_if(groups, [](const SuspectGroup& group) {
+    return group.size < kMinCrashesToKeep;
+  });
   std::ranges::stable_sort(groups, std::ranges::greater(), &SuspectGroup::size);
   SuspectReport selected;
   TakeGroups(all, groups.begin(), groups.end(), kMaxSavedCrashes,
