--- a/packages/serving/include/serving/crash_suspects_base.h
+++ b/packages/serving/include/serving/crash_suspects_base.h
@@ -91,7 +91,8 @@
                                bool to_newcomer,
                                TimePoint now);
 
-/** The requests with the most crashes, for the store; bounded in size.
+/** The requests with the most crashes, at least two, for the store; bounded in
+ * size.
  * @note Thread-safe. */
 SuspectReport SelectForSave(const SuspectReport& all);
 
