Pass typed extensions between nodes and report attempts to observers

Modules that learn from requests and share what they learn had to change the datagram, the peer table, the reducer and Exchange each time. A message now ends in optional extensions, each with a kind, a scope and bytes of its module's own encoding; earlier builds ignore them, and a message without any is the same as before. TrafficCore has a list of modules that share state and a list of observers that are told of each attempt's first event, gaps between events and end. Both lists are empty, so nothing changes for callers.

Server entries keep the version of their software and the time until they have warmed up; the state that nodes fetch from each other has both after its earlier fields.

--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -171,6 +171,7 @@
                                 TimePoint now) const;
   void AddPrefixes(const serving::TrafficReport& report);
   void AddSuspects(const serving::TrafficReport& report, TimePoint now);
+  void AddExtensions(const serving::PeerMessage& message, TimePoint now);
 
   std::string self_ip;
   TimePoint started;
@@ -184,6 +185,9 @@
   std::vector<serving::PrefixSend> prefixes;
   /** Crashes under requests reported since the last summary. */
   serving::SuspectReport suspects;
+  /** Extensions received since the last summary. */
+  std::vector<serving::ReceivedExtension> extensions;
+  size_t extension_bytes = 0;  ///< Sum of their payloads.
   /** Units by customer since the last summary. */
   std::map<serving::NameHash, double> admitted;
 };
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -38,6 +38,9 @@
 /** The same for crashes under requests. */
 constexpr size_t kMaxPendingSuspects = 8192;
 
+/** Largest sum of extension payloads kept between two summaries. */
+constexpr size_t kMaxPendingExtensionBytes = size_t{1024} * 1024;
+
 /** Smallest number of agreeing nodes that confirms a time of day. Two nodes are
  * not enough: if their clocks differ, either may be right. */
 constexpr size_t kMinAgreeingNodes = 3;
@@ -143,6 +146,7 @@
   this->AddAdmitted(message, same_process ? &known->second : nullptr, now);
   this->AddPrefixes(message.report);
   this->AddSuspects(message.report, now);
+  this->AddExtensions(message, now);
   if (!same_process) {
     this->last_new_process = now;
   }
@@ -233,6 +237,20 @@
                                 received.answers.end());
 }
 
+void PeerTable::AddExtensions(const serving::PeerMessage& message,
+                              TimePoint now) {
+  for (const serving::PeerExtension& extension : message.report.extensions) {
+    const size_t bytes = extension.payload.size();
+    if (this->extension_bytes + bytes > kMaxPendingExtensionBytes) {
+      return;
+    }
+    this->extension_bytes += bytes;
+    this->extensions.push_back({serving::PackIp(message.status.ip),
+                                message.status.incarnation, now, extension.kind,
+                                extension.payload});
+  }
+}
+
 void PeerTable::AddEstimatedUse(PeerEntry& entry, TimePoint now) {
   const std::chrono::duration<double> unreported =
       entry.status.leaving
@@ -345,6 +363,8 @@
   summary.prefixes = std::move(this->prefixes);
   this->prefixes.clear();
   summary.suspects = std::exchange(this->suspects, {});
+  summary.extensions = std::exchange(this->extensions, {});
+  this->extension_bytes = 0;
   summary.admitted = std::move(this->admitted);
   this->admitted.clear();
   return summary;
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -147,6 +147,26 @@
   return recent;
 }
 
+/** Extensions for the nodes of a group, at most kMaxExtensions. */
+std::vector<serving::PeerExtension> ExtensionsFor(
+    const std::vector<serving::PeerExtension>& all,
+    bool same_region,
+    bool has_duties) {
+  std::vector<serving::PeerExtension> selected;
+  for (const serving::PeerExtension& extension : all) {
+    const bool wanted =
+        extension.scope == serving::ExtensionScope::kAllRegions ||
+        (extension.scope == serving::ExtensionScope::kSameRegion &&
+         same_region) ||
+        (extension.scope == serving::ExtensionScope::kDutyNodes && has_duties);
+    if (wanted && selected.size() < serving::kMaxExtensions &&
+        extension.payload.size() <= serving::kMaxExtensionBytes) {
+      selected.push_back(extension);
+    }
+  }
+  return selected;
+}
+
 /** Whether a node may lack what the others have been told before. */
 bool IsNewcomer(const FleetState& state, const std::string& ip, TimePoint now) {
   const auto known = state.peers.All().find(ip);
@@ -324,6 +344,8 @@
     if (group.same_region) {
       send.message.report.loads = state.report.loads;
     }
+    send.message.report.extensions = ExtensionsFor(
+        state.report.extensions, group.same_region, group.has_duties);
     if (group.has_duties) {
       send.message.report.usage = state.report.usage;
       send.message.report.demand = state.report.demand;
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -6,6 +6,7 @@
 
 #include <zlib.h>
 
+#include <algorithm>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
@@ -50,32 +51,74 @@
 
 namespace {
 
-/** Maximum size of a configuration text; values in the store are smaller. */
-constexpr size_t kMaxConfigBytes = size_t{16} * 1024 * 1024;
+/** Properties of the servers of a PeerState that earlier versions don't know.
+ * Encoded after it; earlier versions ignore what follows their own fields. */
+struct ServerDetails {
+  std::vector<std::string> versions;  ///< Each once.
+  /** Index into versions, by position in PeerState::servers, followed by the
+   * servers in PeerState::changes. */
+  std::vector<uint16_t> version_of;
+  /** By that position; only servers that are cold. */
+  std::map<uint32_t, uint32_t> cold_left_ms;
 
-template <class Value>
-std::string Encode(const Value& value) {
-  std::ostringstream stream(std::ios::binary);
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(value);
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->versions, this->version_of, this->cold_left_ms);
   }
-  return stream.str();
-}
+};
 
-template <class Value>
-std::optional<Value> Decode(std::string_view bytes) {
-  try {
-    BodyReader reader(bytes);
-    Value value;
-    reader(value);
-    return value;
-  } catch (const std::exception&) {
-    // Truncated or invalid input; the callers count and drop it.
-    return std::nullopt;
+/** Calls @p visit with each server of @p state in the order of
+ * ServerDetails::version_of. */
+template <class State, class Visitor>
+void ForEachServer(State& state, Visitor visit) {
+  for (auto& server : state.servers) {
+    visit(server);
+  }
+  for (auto& change : state.changes) {
+    if (change.server) {
+      visit(*change.server);
+    }
   }
 }
 
+ServerDetails MakeServerDetails(const PeerState& state) {
+  ServerDetails details;
+  std::map<std::string, uint16_t> known;
+  uint32_t position = 0;
+  ForEachServer(state, [&](const serving::BackendServer& server) {
+    const auto next = static_cast<uint16_t>(
+        std::min<size_t>(details.versions.size(), UINT16_MAX));
+    const auto [found, added] = known.try_emplace(server.version, next);
+    if (added) {
+      details.versions.push_back(server.version);
+    }
+    details.version_of.push_back(found->second);
+    if (server.cold_left_ms > 0) {
+      details.cold_left_ms[position] = server.cold_left_ms;
+    }
+    ++position;
+  });
+  return details;
+}
+
+void ApplyServerDetails(const ServerDetails& details, PeerState& state) {
+  uint32_t position = 0;
+  ForEachServer(state, [&](serving::BackendServer& server) {
+    if (position < details.version_of.size() &&
+        details.version_of[position] < details.versions.size()) {
+      server.version = details.versions[details.version_of[position]];
+    }
+    const auto cold = details.cold_left_ms.find(position);
+    if (cold != details.cold_left_ms.end()) {
+      server.cold_left_ms = cold->second;
+    }
+    ++position;
+  });
+}
+
+/** Maximum size of a configuration text; values in the store are smaller. */
+constexpr size_t kMaxConfigBytes = size_t{16} * 1024 * 1024;
+
 }  // namespace
 
 std::string EncodePeerMessage(const serving::PeerMessage& message) {
@@ -87,6 +130,9 @@
                                      message.report.prefill_speeds},
             message.report.crash_evidence,
             message.report.suspects.value_or(serving::SuspectReport{}));
+    if (!message.report.extensions.empty()) {
+      archive(message.report.extensions);
+    }
   }
   return stream.str();
 }
@@ -108,9 +154,21 @@
     if (!reader.AtEnd()) {
       reader(message.report.suspects.emplace());
     }
+    if (!reader.AtEnd()) {
+      reader(message.report.extensions);
+      std::erase_if(message.report.extensions,
+                    [](const serving::PeerExtension& extension) {
+                      return extension.payload.size() >
+                             serving::kMaxExtensionBytes;
+                    });
+      if (message.report.extensions.size() > serving::kMaxExtensions) {
+        message.report.extensions.resize(serving::kMaxExtensions);
+      }
+    }
     return message;
   } catch (const std::exception&) {
-    return std::nullopt;  // As in Decode().
+    // Truncated or invalid input; the callers count and drop it.
+    return std::nullopt;
   }
 }
 
@@ -179,11 +237,28 @@
 }
 
 std::string EncodePeerState(const PeerState& state) {
-  return Encode(state);
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(state, MakeServerDetails(state));
+  }
+  return stream.str();
 }
 
 std::optional<PeerState> DecodePeerState(std::string_view bytes) {
-  return Decode<PeerState>(bytes);
+  try {
+    BodyReader reader(bytes);
+    PeerState state;
+    reader(state);
+    if (!reader.AtEnd()) {
+      ServerDetails details;
+      reader(details);
+      ApplyServerDetails(details, state);
+    }
+    return state;
+  } catch (const std::exception&) {
+    return std::nullopt;  // As in DecodePeerMessage().
+  }
 }
 
 }  // namespace boragewharf::node
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -84,6 +84,12 @@
   return stream.str();
 }
 
+/** Encodes the message without the extensions that a later version added. */
+std::string EncodeWithoutExtensions(serving::PeerMessage message) {
+  message.report.extensions.clear();
+  return EncodePeerMessage(message);
+}
+
 TEST(PeerCodecTest, MessagesRoundTripAndTruncationIsDetected) {
   serving::PeerMessage message;
   message.format = serving::kPeerFormat;
@@ -96,6 +102,7 @@
                                    {{{10, 11}, 12, 13, {}}},
                                    {{14, 15, 16, {}}}};
   message.report.suspects = {{{17, 18, 19, {}}}, {{20, 21, {}}}};
+  message.report.extensions = {{2, "room", {}}, {999, "later", {}}};
   const std::string bytes = EncodePeerMessage(message);
   const auto decoded = DecodePeerMessage(bytes);
   ASSERT_TRUE(decoded);
@@ -118,15 +125,19 @@
   EXPECT_EQ(decoded->report.suspects->crashes[0].id, 18U);
   ASSERT_EQ(decoded->report.suspects->answers.size(), 1U);
   EXPECT_EQ(decoded->report.suspects->answers[0].age_ms, 21U);
-  // Only the messages of the three earlier versions are complete.
+  ASSERT_EQ(decoded->report.extensions.size(), 2U);
+  EXPECT_EQ(decoded->report.extensions[1].kind, 999U);
+  EXPECT_EQ(decoded->report.extensions[1].payload, "later");
+  // Only the messages of the four earlier versions are complete.
   const size_t without_tail = EncodeWithoutTail(message).size();
   const size_t without_evidence = EncodeWithoutEvidence(message).size();
   const size_t without_suspects = EncodeWithoutSuspects(message).size();
+  const size_t without_extensions = EncodeWithoutExtensions(message).size();
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
     const auto part = DecodePeerMessage(bytes.substr(0, cut));
-    EXPECT_EQ(part.has_value(), cut == without_tail ||
-                                    cut == without_evidence ||
-                                    cut == without_suspects)
+    EXPECT_EQ(part.has_value(),
+              cut == without_tail || cut == without_evidence ||
+                  cut == without_suspects || cut == without_extensions)
         << cut;
   }
 }
@@ -196,6 +207,49 @@
   EXPECT_EQ(slightly_behind.changes.size(), 1U);
 }
 
+// Guards against an extension that takes more memory than its bound, or keeps
+// the rest of the message from being read.
+TEST(PeerCodecTest, OversizedExtensionsAreDropped) {
+  serving::PeerMessage message;
+  message.report.extensions.resize(2 * serving::kMaxExtensions);
+  message.report.extensions[0].payload =
+      std::string(serving::kMaxExtensionBytes + 1, 'x');
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+  ASSERT_TRUE(decoded);
+  ASSERT_EQ(decoded->report.extensions.size(), serving::kMaxExtensions);
+  EXPECT_TRUE(decoded->report.extensions[0].payload.empty());
+}
+
+// Guards against nodes of which one build sends or expects server details that
+// the other one doesn't know.
+TEST(PeerCodecTest, ServerDetailsAreOptional) {
+  PeerState state;
+  state.servers.resize(2);
+  state.servers[0].id = "s0";
+  state.servers[0].version = "v2";
+  state.servers[0].cold_left_ms = 700;
+  state.servers[1].id = "s1";
+  state.servers[1].version = "v1";
+  state.changes = {{8, "s2", std::nullopt}, {9, "s0", state.servers[0]}};
+  const std::string bytes = EncodePeerState(state);
+  const auto decoded = DecodePeerState(bytes);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->servers, state.servers);
+  EXPECT_EQ(decoded->changes[1].server, state.servers[0]);
+  size_t complete = 0;
+  for (size_t cut = 0; cut < bytes.size(); ++cut) {
+    const auto earlier = DecodePeerState(bytes.substr(0, cut));
+    if (!earlier) {
+      continue;
+    }
+    complete += 1;
+    ASSERT_EQ(earlier->servers.size(), 2U);
+    EXPECT_EQ(earlier->servers[0].id, "s0");
+    EXPECT_TRUE(earlier->servers[0].version.empty());
+  }
+  EXPECT_EQ(complete, 1U) << "the state as an earlier version sends it";
+}
+
 TEST(DecompressTest, CorruptInputIsRejected) {
   EXPECT_FALSE(Decompress("not compressed"));
   EXPECT_FALSE(Decompress(""));
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -17,6 +17,7 @@
 #include "httpio/server_connection_base.h"
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
+#include "serving/attempt_observer_base.h"
 #include "serving/config_type.h"
 #include "serving/crash_attribution_base.h"
 #include "serving/crash_suspects_base.h"
@@ -26,6 +27,7 @@
 #include "serving/quota_base.h"
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
+#include "serving/shared_state_base.h"
 
 namespace boragewharf::relay {
 
@@ -208,6 +210,10 @@
   TimePoint next_crash_evaluation;
   std::unique_ptr<serving::RoutingPolicy> engine_policy;
   std::unique_ptr<serving::RoutingPolicy> plain_policy;
+  /** Members that learn from attempts; not owned. */
+  std::vector<serving::AttemptObserver*> observers;
+  /** Members that exchange state with other nodes; not owned. */
+  std::vector<serving::SharedState*> shared_states;
   std::mt19937_64 generator;
   std::unordered_map<httpio::ServerConnection*, std::shared_ptr<Exchange>>
       exchanges;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -32,6 +32,10 @@
  * the goal and eight times the gap goal. */
 constexpr Milliseconds kClientGiveUpTime(2000);
 
+/** Interval at which a stream's times between events are reported to the
+ * observers; short enough to follow a server that turns slow. */
+constexpr Milliseconds kGapReportPeriod(300);
+
 /** Timeout for connecting to a server; clients themselves allow one second. */
 constexpr Milliseconds kConnectTimeout(800);
 
@@ -116,6 +120,8 @@
   this->attempt->last_progress = now;
   if (!this->attempt->first_event) {
     this->OnFirstEvent(now);
+  } else {
+    this->RecordEventGap(now);
   }
   if (!this->usage_counted) {
     this->usage_counted = true;
@@ -141,7 +147,14 @@
 }
 
 void Exchange::OnFirstEvent(TimePoint now) {
+  const Duration after = now - this->attempt->started;
   this->attempt->first_event = true;
+  this->attempt->last_event = now;
+  this->attempt->gaps_since = now;
+  const serving::AttemptView view = this->ViewAttempt();
+  for (serving::AttemptObserver* observer : this->core.observers) {
+    observer->OnFirstEvent(view, after, now);
+  }
   this->EndPrefill();
   this->core.crash_attribution.RecordFirstEvent(
       serving::HashName(this->service_name), now);
@@ -151,8 +164,45 @@
       this->attempt->server->distance != serving::Distance::kOtherRegion;
   if (reads_prompt && near) {
     this->core.prefill_estimates[this->service_name].Add(
-        this->choice_inputs.read_tokens, now - this->attempt->started, now);
+        this->choice_inputs.read_tokens, after, now);
+  }
+}
+
+serving::AttemptView Exchange::ViewAttempt() const {
+  const Attempt& current = *this->attempt;
+  return {current.server->server,
+          *this->route,
+          this->customer == nullptr ? std::string_view()
+                                    : std::string_view(this->customer->name),
+          current.server->distance,
+          this->service != nullptr && this->service->engine,
+          current.inputs.running,
+          current.inputs.prefill_tokens,
+          current.inputs.read_tokens,
+          !current.inputs.copy_from.empty(),
+          current.resumes,
+          current.first_event,
+          current.started};
+}
+
+void Exchange::RecordEventGap(TimePoint now) {
+  this->attempt->gaps.push_back(now - this->attempt->last_event);
+  this->attempt->last_event = now;
+  if (now - this->attempt->gaps_since >= kGapReportPeriod) {
+    this->ReportEventGaps(now);
+  }
+}
+
+void Exchange::ReportEventGaps(TimePoint now) {
+  if (this->attempt->gaps.empty()) {
+    return;
+  }
+  const serving::AttemptView view = this->ViewAttempt();
+  for (serving::AttemptObserver* observer : this->core.observers) {
+    observer->OnEventGaps(view, this->attempt->gaps, now);
   }
+  this->attempt->gaps.clear();
+  this->attempt->gaps_since = now;
 }
 
 void Exchange::SendStreamHead() {
@@ -223,6 +273,7 @@
     return;
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
+  this->attempt->outcome = serving::AttemptOutcome::kServed;
   if (!this->attempt->ends_with_connection) {
     // A crash can end such a connection like a complete response.
     this->core.suspects.ClearCrashes(this->fingerprint, BootClock::now());
@@ -252,6 +303,7 @@
     return;
   }
   this->core.pool.RecordSuccess(*this->attempt->server);
+  this->attempt->outcome = serving::AttemptOutcome::kServed;
   if (facts.status / 100 == 2) {
     this->ExonerateParts(BootClock::now());
   }
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -77,6 +77,24 @@
   return "unknown";
 }
 
+serving::AttemptOutcome OutcomeOf(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotSent:
+      return serving::AttemptOutcome::kNotSent;
+    case AttemptFailure::kRejected:
+      return serving::AttemptOutcome::kRejected;
+    case AttemptFailure::kConnectionLost:
+      return serving::AttemptOutcome::kConnectionLost;
+    case AttemptFailure::kMalformed:
+      return serving::AttemptOutcome::kMalformed;
+    case AttemptFailure::kTimedOut:
+      return serving::AttemptOutcome::kTimedOut;
+    case AttemptFailure::kServerError:
+      return serving::AttemptOutcome::kServerError;
+  }
+  return serving::AttemptOutcome::kCancelled;
+}
+
 }  // namespace
 
 Exchange::Exchange(TrafficCore& traffic,
@@ -298,6 +316,7 @@
 
   Attempt next;
   next.server = server;
+  next.inputs = this->choice_inputs;
   next.started = now;
   next.last_progress = now;
   this->core.pool.RecordPrefix(*server,
@@ -333,6 +352,13 @@
   if (!this->attempt) {
     return;
   }
+  const TimePoint now = BootClock::now();
+  this->ReportEventGaps(now);
+  const serving::AttemptView view = this->ViewAttempt();
+  for (serving::AttemptObserver* observer : this->core.observers) {
+    observer->OnEnded(view, this->attempt->outcome,
+                      now - this->attempt->started, now);
+  }
   this->EndPrefill();
   PooledServer& server = *this->attempt->server;
   server.own_load.running -= std::min(server.own_load.running, 1U);
@@ -436,6 +462,7 @@
   const TimePoint end = this->EffectiveDeadline();
   facts.time_left = now + kMinResendTime < end;
   this->may_have_run = this->may_have_run || serving::MayHaveRun(failure);
+  this->attempt->outcome = OutcomeOf(failure);
   this->excluded_servers.push_back(server->server.id);
 
   RetryDecision decision = serving::DecideAfterFailure(facts, true);
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -15,6 +15,7 @@
 #include "relay/server_pool_base.h"
 #include "relay/traffic_core_base.h"
 #include "relay/upstream_connection_base.h"
+#include "serving/attempt_observer_base.h"
 #include "serving/event_splitter_base.h"
 #include "serving/request_type.h"
 
@@ -118,6 +119,7 @@
   struct Attempt {
     std::shared_ptr<PooledServer> server;
     std::shared_ptr<UpstreamConnection> connection;
+    ChoiceInputs inputs;  ///< Of the choice of this server.
     TimePoint started;
     TimePoint last_progress;  ///< When the request was sent, or the last useful
                               ///< response data arrived.
@@ -132,6 +134,10 @@
     uint32_t prefill_tokens = 0;  ///< Still counted as load of the server.
     std::optional<serving::ResponseFacts> facts;
     Move move;
+    serving::AttemptOutcome outcome = serving::AttemptOutcome::kCancelled;
+    TimePoint last_event;        ///< Arrival of the last event.
+    TimePoint gaps_since;        ///< Arrival of the event before gaps.
+    std::vector<Duration> gaps;  ///< Not yet reported to the observers.
   };
 
   /** Ends the request if the client has closed its connection; returns whether
@@ -164,6 +170,12 @@
   void AfterFailure(serving::AttemptFailure failure);
   void ReleaseAttempt();
   void EndPrefill();
+  /** The attempt, for the observers. */
+  serving::AttemptView ViewAttempt() const;
+  /** Records the time since the last event; the observers get several at once.
+   */
+  void RecordEventGap(TimePoint now);
+  void ReportEventGaps(TimePoint now);
   void CompleteStream();
   void CompleteBuffered();
   void BufferBody(std::string_view bytes, TimePoint now);
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -228,6 +228,9 @@
     this->MergeCrashEvidence(evidence);
   }
   this->prefill_speeds = summary.prefill_speeds;
+  for (serving::SharedState* state : this->shared_states) {
+    state->MergePeers(summary, BootClock::now());
+  }
   bool any_leaves = false;
   for (const serving::LeavingServer& announced : summary.leaving) {
     any_leaves |= this->pool.Leaving().Merge(announced, BootClock::now());
@@ -334,6 +337,9 @@
       report.prefill_speeds[serving::HashName(service)] = *speed;
     }
   }
+  for (serving::SharedState* state : this->shared_states) {
+    state->AppendExtensions(report.extensions, now);
+  }
   return report;
 }
 
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -14,6 +14,7 @@
 #include "base/time_type.h"
 #include "serving/crash_evidence_type.h"
 #include "serving/crash_suspects_type.h"
+#include "serving/peer_extension_type.h"
 #include "serving/prefill_speed_base.h"
 
 namespace boragewharf::serving {
@@ -98,6 +99,9 @@
   /** Sent after crash_evidence, in parts; empty if an earlier version sent the
    * message. */
   std::optional<SuspectReport> suspects;
+  /** Sent after suspects, if there are any. At most kMaxExtensions, one of a
+   * kind. */
+  std::vector<PeerExtension> extensions;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -197,6 +201,8 @@
   std::map<NameHash, double> prefill_speeds;
   /** Of all other nodes, with times of the local boot clock. */
   std::vector<CrashEvidence> crash_evidence;
+  /** Of all other nodes since the last summary, in order of arrival. */
+  std::vector<ReceivedExtension> extensions;
   Duration message_period{};  ///< Time between two messages of a node.
 };
 
--- a/packages/serving/include/serving/server_type.h
+++ b/packages/serving/include/serving/server_type.h
@@ -23,6 +23,9 @@
   uint64_t started = 0;      ///< Start time in Unix milliseconds.
   bool draining = false;     ///< Finishes its requests and gets no new ones.
   bool reclaimable = false;  ///< The cloud provider may reclaim it.
+  std::string version;       ///< Of its software; empty if not stated.
+  /** Time from the entry's last change until the server has warmed up. */
+  uint32_t cold_left_ms = 0;
 
   bool operator==(const BackendServer&) const = default;
 };
