--- a/packages/serving/include/serving/peer_extension_type.h
+++ b/packages/serving/include/serving/peer_extension_type.h
@@ -17,7 +17,7 @@
  * never used again; nodes ignore numbers that they don't know. */
 enum class ExtensionKind : uint16_t {
   kServerSpeeds = 1,     ///< Learned speeds of backend servers.
-  kServiceRoom = 2,      ///< Free places and waiting requests, by service.
+  kServiceRoom = 2,      ///< Free slots and waiting requests, by service.
   kRolloutState = 3,     ///< The duty holder's decision on a roll-out.
   kRolloutEvidence = 4,  ///< Results of the versions of a service.
 };
