Keep outside text from ending the node when it is written

Cause: an attempt id may have any byte that HTTP allows in a field, but a stream is moved with a JSON request that contains the id. Three more places could end it: names that other nodes tell, in /state, in the directory and in saved usage counts; and std::stoull on the version of the lease when the answer to its last write had no revision. The handle of a copy and names of customers went into header fields unchecked, line ends included.

Change: EncodeMoveRequest() returns nothing for an id that JSON cannot represent, and the stream stays where it runs. As a last resort, an exception in an event handler of either loop ends that request or message, and is logged and counted with its source (ExceptionGuard); timers, reads, accepts and queued calls go on.

--- a/packages/eventlog/tests/event_log_test.cc
+++ b/packages/eventlog/tests/event_log_test.cc
@@ -8,10 +8,14 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <vector>
 
 #include "base/scope_guard.h"
 #include "eventlog/event_log_base.h"
+#include "eventlog/exception_guard_base.h"
 
 namespace boragewharf {
 namespace {
@@ -89,5 +93,64 @@
   EXPECT_EQ(counters.Get("log_lines_dropped_total").Get(), 8);
 }
 
+/** Runs its handlers in order; goes on after one that throws. */
+struct FakeLoop {
+  // NOLINTNEXTLINE(readability-identifier-naming): as of an io_context.
+  void run() {
+    while (this->next < this->handlers.size()) {
+      this->handlers[this->next++]();
+    }
+  }
+
+  std::vector<std::function<void()>> handlers;
+  size_t next = 0;
+};
+
+/** Keeps the texts of all fields. */
+class TextLog : public EventLog {
+ public:
+  void Write(EventLevel level,
+             std::string_view event,
+             std::initializer_list<EventField> fields) override {
+    this->lines.push_back(RenderEvent("n", 0, level, event, fields));
+  }
+
+  std::vector<std::string> lines;
+};
+
+// Guards against an exception in one event handler that ends the process, or
+// the handling of later events.
+TEST(ExceptionGuardTest, LoopGoesOnAfterExceptionsAndReportsThem) {
+  CounterRegistry counters;
+  TextLog log;
+  ExceptionGuard guard("traffic", log, counters);
+  int handled = 0;
+  FakeLoop loop;
+  loop.handlers = {
+      [&] { ++handled; }, [] { throw std::runtime_error("bad \xff"); },
+      [] { throw 5; },
+      [&] {
+        const bool ended =
+            guard.Call("request", [] { throw std::out_of_range("at"); });
+        EXPECT_FALSE(ended);
+        ++handled;
+      }};
+  RunGuarded(loop, guard);
+  EXPECT_EQ(handled, 2);
+  const auto count = [&](const std::string& source) {
+    return counters
+        .Get("handler_exceptions_total",
+             "loop=\"traffic\",source=\"" + source + "\"")
+        .Get();
+  };
+  EXPECT_EQ(count("event_loop"), 2);
+  EXPECT_EQ(count("request"), 1);
+  ASSERT_EQ(log.lines.size(), 3U);
+  const auto line = nlohmann::json::parse(log.lines[2]);
+  EXPECT_EQ(line["event"], "handler_exception");
+  EXPECT_EQ(line["source"], "request");
+  EXPECT_EQ(line["reason"], "at");
+}
+
 }  // namespace
 }  // namespace boragewharf
--- a/packages/httpio/include/httpio/message_parser_base.h
+++ b/packages/httpio/include/httpio/message_parser_base.h
@@ -36,6 +36,16 @@
  */
 bool IsHopByHopField(std::string_view name);
 
+/** Whether a text can be the value of a header field: it has no control
+ * characters but tabs. A line end would begin another field or message. */
+bool IsFieldValue(std::string_view text);
+
+/** Appends a header field to a message. A field whose name or value can't be
+ * sent is left out; see IsFieldValue(). */
+void AppendField(std::string& message,
+                 std::string_view name,
+                 std::string_view value);
+
 /** A request received from a client. */
 struct InboundRequest {
   std::string method;
--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -135,6 +135,9 @@
  private:
   void Read();
   void OnRead(const boost::system::error_code& error, size_t size);
+  /** Closes the connection if @p handle throws, and passes the exception on. */
+  template <class Handler>
+  void CloseIfThrows(const Handler& handle);
   void Parse();
   /** Answers a request that was not read completely, and closes. */
   void RejectInput(uint32_t status);
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "base/scope_guard.h"
+
 namespace boragewharf::httpio {
 namespace {
 
@@ -144,8 +146,7 @@
                           " HTTP/1.1\r\nHost: " + ToString(this->server) +
                           "\r\n";
     for (const auto& [name, value] : call.fields) {
-      this->request_bytes.append(name).append(": ").append(value).append(
-          "\r\n");
+      AppendField(this->request_bytes, name, value);
     }
     if (!call.body.empty()) {
       this->request_bytes +=
@@ -224,7 +225,13 @@
     Callback callback = std::move(this->queue.front().second);
     this->queue.pop_front();
     HttpResult completed_result = std::move(this->result);
+    // Queued calls are made even if the callback throws.
+    ScopeGuard resume([&] {
+      asio::post(this->socket.get_executor(),
+                 [self] { self->StartNextCall(); });
+    });
     callback(std::move(completed_result));
+    resume.Dismiss();
     this->StartNextCall();
   }
 
--- a/packages/httpio/src/message_parser_base.cc
+++ b/packages/httpio/src/message_parser_base.cc
@@ -96,6 +96,22 @@
       [&](std::string_view field) { return EqualNoCase(field, name); });
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr char kDelete = 0x7f;
+  return std::ranges::none_of(text, [](char c) {
+    return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == kDelete;
+  });
+}
+
+void AppendField(std::string& message,
+                 std::string_view name,
+                 std::string_view value) {
+  if (!IsFieldValue(name) || !IsFieldValue(value)) {
+    return;
+  }
+  message.append(name).append(": ").append(value).append("\r\n");
+}
+
 RequestParser::RequestParser(uint32_t header_limit, uint64_t max_body)
     : trailer_limit(header_limit) {
   this->header_limit(header_limit);
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/scope_guard.h"
+
 namespace boragewharf::httpio {
 namespace {
 
@@ -61,7 +63,7 @@
   text += ReasonPhrase(status);
   text += "\r\n";
   for (const auto& [name, value] : fields) {
-    text.append(name).append(": ").append(value).append("\r\n");
+    AppendField(text, name, value);
   }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   if (!keep_alive) {
@@ -84,6 +86,20 @@
   this->Read();
 }
 
+template <class Handler>
+void ServerConnection::CloseIfThrows(const Handler& handle) {
+  try {
+    handle();
+  } catch (...) {
+    // Without a further read, the connection would stay open unattended.
+    if (this->socket.is_open() && this->request_active) {
+      this->listener.handler.OnClientDisconnected(*this);
+    }
+    this->Close();
+    throw;
+  }
+}
+
 void ServerConnection::Read() {
   if (this->read_active || !this->socket.is_open() ||
       (this->request_active &&
@@ -96,7 +112,7 @@
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         size_t size) {
         self->read_active = false;
-        self->OnRead(error, size);
+        self->CloseIfThrows([&] { self->OnRead(error, size); });
       });
 }
 
@@ -278,7 +294,7 @@
     // Post the call, so that pipelined requests do not recurse.
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
       if (!self->request_active) {
-        self->Parse();
+        self->CloseIfThrows([&] { self->Parse(); });
       }
     });
   }
@@ -399,13 +415,13 @@
         if (error == asio::error::operation_aborted) {
           return;
         }
+        const ScopeGuard accept_next([this] { this->Accept(); });
         if (!error) {
           auto connection =
               std::make_shared<ServerConnection>(*this, std::move(socket));
           this->connections.insert(connection);
           connection->Start();
         }
-        this->Accept();
       });
 }
 
--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -72,7 +72,8 @@
                      {"released", record.released},
                      {"instance", record.instance},
                      {"former", former}};
-  return json.dump();
+  // Former holders are taken from a record that another program wrote.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 namespace {
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -17,6 +17,7 @@
 
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
+#include "eventlog/exception_guard_base.h"
 #include "fleet/fleet_cmd.h"
 #include "fleet/platform_base.h"
 #include "httpio/http_channel_base.h"
@@ -88,6 +89,10 @@
   void Send(const fleet::SendToPeers& send);
   void Fetch(const fleet::FetchState& fetch);
   void ReceiveDatagram();
+  void OnDatagram(std::string_view bytes);
+  /** Takes over the state that another node has answered with.
+   * @return Whether it could be read. */
+  bool ApplyFetched(const httpio::HttpResult& result);
   void Tick();
   EndpointResponse HandleReady(const httpio::InboundRequest& request);
   EndpointResponse HandleDirectory(const httpio::InboundRequest& request);
@@ -104,6 +109,7 @@
   ControlStateListener& state_listener;
   EventLog& log;
   CounterRegistry& counters;
+  ExceptionGuard guard;
   LoopDelayMonitor delay_monitor;
   fleet::FleetState state;
   boost::asio::ip::udp::socket socket;
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <thread>
 
+#include "eventlog/exception_guard_base.h"
 #include "node/control_loop_base.h"
 #include "node/loop_delay_base.h"
 #include "node/node_settings.h"
@@ -56,6 +57,9 @@
   void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) override;
   void OnSuspectsRestored(const serving::SuspectReport& suspects) override;
+  /** Runs @p handler on the traffic loop. @param source See ExceptionGuard. */
+  template <class Handler>
+  void PostToTraffic(const char* source, Handler handler);
   void WaitForSignal();
   void ReloadSettings();
   void BeginShutdown();
@@ -68,6 +72,8 @@
   std::string settings_path;
   CounterRegistry counters;
   std::unique_ptr<EventLog> log;
+  ExceptionGuard control_guard;
+  ExceptionGuard traffic_guard;
   LoopDelayMonitor traffic_delay_monitor;  ///< Traffic loop only.
   boost::asio::io_context control_loop{1};
   boost::asio::io_context traffic_loop{1};
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -5,10 +5,12 @@
 #include "node/control_loop_base.h"
 
 #include <algorithm>
+#include <boost/core/demangle.hpp>
 #include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <typeinfo>
 
 #include "base/time_type.h"
 #include "node/peer_codec.h"
@@ -101,6 +103,25 @@
   return parsed.ec == std::errc() ? number : 0;
 }
 
+/** Text of a JSON value. Names that other nodes have told may have any bytes;
+ * those that are not UTF-8 are replaced. */
+template <class Json>
+std::string DumpReplacing(const Json& value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/** Name of the type of an event or effect. */
+template <class Variant>
+const std::string& TypeName(const Variant& value) {
+  return std::visit(
+      [](const auto& held) -> const std::string& {
+        static const std::string kName =
+            boost::core::demangle(typeid(held).name());
+        return kName;
+      },
+      value);
+}
+
 std::string_view PathOf(const httpio::InboundRequest& request) {
   const std::string_view target = request.target;
   return target.substr(0, target.find('?'));
@@ -133,6 +154,7 @@
       state_listener(control_state_listener),
       log(event_log),
       counters(registry),
+      guard("control", event_log, registry),
       delay_monitor("control", event_log, registry),
       state(MakeFleetSettings(node_settings)),
       socket(event_loop),
@@ -149,7 +171,10 @@
   this->http_endpoints.push_back(std::make_unique<HttpEndpoint>(
       this->loop, *address,
       [this, respond](const httpio::InboundRequest& request) {
-        return (this->*respond)(request);
+        EndpointResponse response{500, "", ""};
+        this->guard.Call("endpoint",
+                         [&] { response = (this->*respond)(request); });
+        return response;
       }));
 }
 
@@ -175,9 +200,11 @@
 
 void ControlLoop::Handle(const fleet::Event& event) {
   std::vector<fleet::Effect> effects;
-  fleet::Reduce(this->state, event, BootClock::now(), effects);
+  this->guard.Call(TypeName(event), [&] {
+    fleet::Reduce(this->state, event, BootClock::now(), effects);
+  });
   for (const fleet::Effect& effect : effects) {
-    this->Execute(effect);
+    this->guard.Call(TypeName(effect), [&] { this->Execute(effect); });
   }
 }
 
@@ -265,17 +292,23 @@
           return;
         }
         if (!error) {
-          auto message = DecodePeerMessage({this->datagram.data(), size});
-          if (message) {
-            this->Handle(fleet::PeerMessageReceived{std::move(*message)});
-          } else {
-            this->counters.Get("peer_datagrams_unreadable_total").Add();
-          }
+          this->guard.Call("datagram", [&] {
+            this->OnDatagram({this->datagram.data(), size});
+          });
         }
         this->ReceiveDatagram();
       });
 }
 
+void ControlLoop::OnDatagram(std::string_view bytes) {
+  auto message = DecodePeerMessage(bytes);
+  if (!message) {
+    this->counters.Get("peer_datagrams_unreadable_total").Add();
+    return;
+  }
+  this->Handle(fleet::PeerMessageReceived{std::move(*message)});
+}
+
 void ControlLoop::Fetch(const fleet::FetchState& fetch) {
   if (!this->settings.control) {
     this->Handle(fleet::FetchEnded{fetch.ip, false});
@@ -294,39 +327,47 @@
   call.timeout = kFetchTimeout;
   channel->Call(
       std::move(call), [this, ip = fetch.ip](const httpio::HttpResult& result) {
-        const auto fetched = result.head && result.head->status == 200
-                                 ? DecodePeerState(result.body)
-                                 : std::nullopt;
-        if (fetched) {
-          const auto text = Decompress(fetched->config_text);
-          auto config = text ? this->platform.DecodeConfig(*text) : nullptr;
-          if (config) {
-            this->Handle(fleet::ConfigRead{fetched->config_revision,
-                                           std::move(config), *text});
-          }
-          if (fetched->servers_known && !fetched->full_list) {
-            this->Handle(fleet::ServersPatched{fetched->base_revision,
-                                               fetched->servers_revision,
-                                               fetched->changes});
-          } else if (fetched->servers_known) {
-            this->Handle(fleet::ServersRead{fetched->servers_revision,
-                                            fetched->servers, true});
-          }
-        }
+        bool fetched = false;
+        this->guard.Call("peer_state",
+                         [&] { fetched = this->ApplyFetched(result); });
         this->counters
             .Get("peer_state_fetches_total",
                  fetched ? "result=\"ok\"" : "result=\"failed\"")
             .Add();
-        this->Handle(fleet::FetchEnded{ip, fetched.has_value()});
+        this->Handle(fleet::FetchEnded{ip, fetched});
       });
 }
 
+bool ControlLoop::ApplyFetched(const httpio::HttpResult& result) {
+  const auto fetched = result.head && result.head->status == 200
+                           ? DecodePeerState(result.body)
+                           : std::nullopt;
+  if (!fetched) {
+    return false;
+  }
+  const auto text = Decompress(fetched->config_text);
+  auto config = text ? this->platform.DecodeConfig(*text) : nullptr;
+  if (config) {
+    this->Handle(
+        fleet::ConfigRead{fetched->config_revision, std::move(config), *text});
+  }
+  if (fetched->servers_known && !fetched->full_list) {
+    this->Handle(fleet::ServersPatched{
+        fetched->base_revision, fetched->servers_revision, fetched->changes});
+  } else if (fetched->servers_known) {
+    this->Handle(
+        fleet::ServersRead{fetched->servers_revision, fetched->servers, true});
+  }
+  return true;
+}
+
 void ControlLoop::Tick() {
   this->delay_monitor.Observe(BootClock::now());
   this->Handle(fleet::Tick{WallNow().time_since_epoch().count()});
   const TimePoint now = BootClock::now();
   for (const auto& endpoint : this->http_endpoints) {
-    endpoint->listener.CheckTime(now);
+    this->guard.Call("endpoint_time",
+                     [&] { endpoint->listener.CheckTime(now); });
   }
   this->delay_monitor.SetDue(BootClock::now() + fleet::kTickPeriod);
   this->tick_timer.expires_after(fleet::kTickPeriod);
@@ -367,7 +408,7 @@
     addresses.push_back(ToString(Endpoint{ip, this->settings.clients->port}));
   }
   const nlohmann::json body = {{"addresses", addresses}, {"ttl_s", ttl}};
-  return {200, "application/json", body.dump()};
+  return {200, "application/json", DumpReplacing(body)};
 }
 
 EndpointResponse ControlLoop::HandleControl(
@@ -416,7 +457,7 @@
                          now - entry.last_message_at)
                          .count()}};
   }
-  return dump.dump();
+  return DumpReplacing(dump);
 }
 
 }  // namespace boragewharf::node
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -81,6 +81,8 @@
       log(MakeStdoutEventLog(settings.name,
                              settings.log_lines_per_second,
                              counters)),
+      control_guard("control", *log, counters),
+      traffic_guard("traffic", *log, counters),
       traffic_delay_monitor("traffic", *log, counters),
       platform(make_platform(control_loop, *log, counters)),
       signals(control_loop, SIGTERM, SIGINT, SIGHUP),
@@ -118,8 +120,9 @@
   this->WaitForSignal();
   this->CheckSettingsFile();
   this->TickTraffic();
-  std::thread traffic_thread([this] { this->traffic_loop.run(); });
-  this->control_loop.run();
+  std::thread traffic_thread(
+      [this] { RunGuarded(this->traffic_loop, this->traffic_guard); });
+  RunGuarded(this->control_loop, this->control_guard);
   this->traffic_loop.stop();
   traffic_thread.join();
   this->log->Write(EventLevel::kInfo, "stop",
@@ -127,9 +130,17 @@
   return true;
 }
 
+template <class Handler>
+void Node::PostToTraffic(const char* source, Handler handler) {
+  asio::post(this->traffic_loop,
+             [this, source, handler = std::move(handler)]() mutable {
+               this->traffic_guard.Call(source, handler);
+             });
+}
+
 void Node::OnConfigPublished(
     std::shared_ptr<const serving::ServingConfig> config) {
-  asio::post(this->traffic_loop, [this, config = std::move(config)]() mutable {
+  this->PostToTraffic("config", [this, config = std::move(config)]() mutable {
     httpio::ConnectionLimits limits;
     limits.max_header_bytes = config->limits.max_header_bytes;
     limits.max_body_bytes = config->limits.max_body_bytes;
@@ -144,20 +155,20 @@
 
 void Node::OnServersPublished(
     std::shared_ptr<const serving::ServerSet> servers) {
-  asio::post(this->traffic_loop, [this, servers = std::move(servers)] {
+  this->PostToTraffic("servers", [this, servers = std::move(servers)] {
     this->traffic->SetServers(servers);
   });
 }
 
 void Node::OnPeersPublished(serving::PeerSummary summary) {
-  asio::post(this->traffic_loop, [this, summary = std::move(summary)] {
+  this->PostToTraffic("peers", [this, summary = std::move(summary)] {
     this->traffic->SetPeers(summary);
   });
 }
 
 void Node::OnQuotasRestored(const std::map<std::string, double>& levels,
                             Duration age) {
-  asio::post(this->traffic_loop, [this, levels, age] {
+  this->PostToTraffic("quotas", [this, levels, age] {
     this->traffic->RestoreQuotas(levels, age);
   });
 }
@@ -166,14 +177,15 @@
     const std::vector<serving::BlockedPart>& blocked) {
   serving::CrashEvidence saved;
   saved.blocked = blocked;
-  asio::post(this->traffic_loop, [this, evidence = std::move(saved)]() mutable {
-    serving::SetTimes(evidence, BootClock::now());
-    this->traffic->MergeCrashEvidence(evidence);
-  });
+  this->PostToTraffic("blocked_parts",
+                      [this, evidence = std::move(saved)]() mutable {
+                        serving::SetTimes(evidence, BootClock::now());
+                        this->traffic->MergeCrashEvidence(evidence);
+                      });
 }
 
 void Node::OnSuspectsRestored(const serving::SuspectReport& suspects) {
-  asio::post(this->traffic_loop, [this, saved = suspects]() mutable {
+  this->PostToTraffic("suspects", [this, saved = suspects]() mutable {
     const TimePoint now = BootClock::now();
     serving::SetTimes(saved, now);
     this->traffic->MergeSuspects(saved, now);
@@ -186,11 +198,13 @@
         if (error) {
           return;
         }
-        if (number == SIGHUP) {
-          this->ReloadSettings();
-        } else {
-          this->BeginShutdown();
-        }
+        this->control_guard.Call("signal", [&] {
+          if (number == SIGHUP) {
+            this->ReloadSettings();
+          } else {
+            this->BeginShutdown();
+          }
+        });
         this->WaitForSignal();
       });
 }
@@ -219,9 +233,11 @@
         if (error) {
           return;
         }
-        if (ReadFile(this->settings_path) != this->last_settings_text) {
-          this->ReloadSettings();
-        }
+        this->control_guard.Call("settings", [&] {
+          if (ReadFile(this->settings_path) != this->last_settings_text) {
+            this->ReloadSettings();
+          }
+        });
         this->CheckSettingsFile();
       });
 }
@@ -253,14 +269,20 @@
 void Node::TickTraffic() {
   const TimePoint now = BootClock::now();
   this->traffic_delay_monitor.Observe(now);
-  this->traffic->CheckTime(now);
-  if (this->client_listener) {
-    this->client_listener->CheckTime(now);
-  }
+  this->traffic_guard.Call("traffic_time",
+                           [&] { this->traffic->CheckTime(now); });
+  this->traffic_guard.Call("client_time", [&] {
+    if (this->client_listener) {
+      this->client_listener->CheckTime(now);
+    }
+  });
   if (now >= this->next_report_time) {
     this->next_report_time = now + kReportPeriod;
-    asio::post(this->control_loop, [this, report = this->traffic->Report(now)] {
-      this->control->Handle(fleet::TrafficReported{report});
+    this->traffic_guard.Call("traffic_report", [&] {
+      asio::post(this->control_loop,
+                 [this, report = this->traffic->Report(now)] {
+                   this->control->Handle(fleet::TrafficReported{report});
+                 });
     });
   }
   if (this->shutdown_started) {
--- a/packages/relay/include/relay/request_wire_base.h
+++ b/packages/relay/include/relay/request_wire_base.h
@@ -63,8 +63,11 @@
   /** Decodes such a report; malformed fields are treated as absent. */
   virtual serving::ServerReport DecodeReport(std::string_view body) const = 0;
 
-  /** Encodes method, target, fields and body of a move request. */
-  virtual httpio::InboundRequest EncodeMoveRequest(
+  /**
+   * Encodes method, target, fields and body of a move request.
+   * @return Empty if the attempt id has bytes that the body can't represent.
+   */
+  virtual std::optional<httpio::InboundRequest> EncodeMoveRequest(
       const MoveRequest& call) const = 0;
 
   /** Decodes the response to a move request. */
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -14,6 +14,7 @@
 
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
+#include "eventlog/exception_guard_base.h"
 #include "httpio/server_connection_base.h"
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
@@ -183,6 +184,7 @@
   const RequestCodec& codec;
   EventLog& log;
   CounterRegistry& counters;
+  ExceptionGuard guard;
   ServerPool pool;
   std::shared_ptr<const serving::ServingConfig> config;
   uint64_t servers_revision = 0;
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -41,8 +41,7 @@
 
 }  // namespace
 
-void Exchange::OnBody(std::string_view bytes) {
-  const auto self = this->shared_from_this();
+void Exchange::TakeBody(std::string_view bytes) {
   const TimePoint now = BootClock::now();
   const serving::ResponseFacts& facts = *this->attempt->facts;
   const bool streaming = this->IsStream() && facts.event_stream &&
@@ -236,7 +235,7 @@
   this->client->Send(std::move(chunk));
 }
 
-void Exchange::OnComplete() {
+void Exchange::Complete() {
   if (this->attempt->ends_with_connection &&
       this->RecordSourceEnd(SourceEnd::kClosed)) {
     return;
@@ -334,11 +333,7 @@
                facts.status);
 }
 
-void Exchange::CheckTime(TimePoint now) {
-  if (this->done || !this->attempt) {
-    return;
-  }
-  const auto self = this->shared_from_this();
+void Exchange::CheckTimes(TimePoint now) {
   this->CheckTimeout(now);
   if (this->done || !this->attempt) {
     return;
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -117,7 +117,7 @@
   return this->route->kind == RouteKind::kStream;
 }
 
-void Exchange::Start() {
+void Exchange::Begin() {
   if (!this->core.Ready() && BootClock::now() - this->arrived < kConfigWait) {
     this->core.waiting_for_config.push_back(this->shared_from_this());
     return;
@@ -353,12 +353,15 @@
     return;
   }
   const TimePoint now = BootClock::now();
-  this->ReportEventGaps(now);
-  const serving::AttemptView view = this->ViewAttempt();
-  for (serving::AttemptObserver* observer : this->core.observers) {
-    observer->OnEnded(view, this->attempt->outcome,
-                      now - this->attempt->started, now);
-  }
+  // The server's load has to be counted down in any case.
+  this->core.guard.Call("attempt_end", [&] {
+    this->ReportEventGaps(now);
+    const serving::AttemptView view = this->ViewAttempt();
+    for (serving::AttemptObserver* observer : this->core.observers) {
+      observer->OnEnded(view, this->attempt->outcome,
+                        now - this->attempt->started, now);
+    }
+  });
   this->EndPrefill();
   PooledServer& server = *this->attempt->server;
   server.own_load.running -= std::min(server.own_load.running, 1U);
@@ -378,7 +381,7 @@
   this->sends += 1;
 }
 
-bool Exchange::OnHead(const httpio::ResponseHead& head) {
+bool Exchange::AcceptHead(const httpio::ResponseHead& head) {
   serving::ResponseFacts facts = this->core.codec.DecodeResponse(head);
   if (!facts.attempt_id.empty() &&
       facts.attempt_id != this->request.facts.attempt_id) {
@@ -406,12 +409,6 @@
   return true;
 }
 
-void Exchange::OnFailure(AttemptFailure failure) {
-  if (!this->RecordSourceEnd(SourceEnd::kBroken)) {
-    this->AfterFailure(failure);
-  }
-}
-
 void Exchange::AfterFailure(AttemptFailure failure) {
   const auto self = this->shared_from_this();
   const TimePoint now = BootClock::now();
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,6 +81,18 @@
   void OnFailure(serving::AttemptFailure failure) override;
 
  private:
+  /** Calls @p handler; if it throws, ends this request only. @param source See
+   * ExceptionGuard. */
+  void Protect(std::string_view source, const std::function<void()>& handler);
+  /** Refuses the request, or cuts its response off if that has begun. */
+  void EndAfterException();
+  void Begin();
+  bool AcceptHead(const httpio::ResponseHead& head);
+  void TakeBody(std::string_view bytes);
+  void Complete();
+  void CheckTimes(TimePoint now);
+  void Cancel();
+
   /** Data on which the last choice of a server was based, for the log. */
   struct ChoiceInputs {
     int64_t expected_ms = -1;  ///< Expected time to the first token.
@@ -202,7 +215,9 @@
   void CheckServerStop(TimePoint now);
   bool OutlivesNotice(TimePoint now) const;
   void StartMove();
-  void SendMoveRequest(bool stop);
+  /** Encodes a request to move the run; empty if its id can't be encoded. */
+  std::optional<httpio::InboundRequest> EncodeMove(bool stop) const;
+  void SendMoveRequest(httpio::InboundRequest encoded, bool stop);
   /** Frees the copy at @p target that was made for a request that has ended. */
   static void FreeCopy(TrafficCore& core,
                        PooledServer& target,
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -58,8 +58,7 @@
   return true;
 }
 
-void Exchange::OnClientDisconnected() {
-  const auto self = this->shared_from_this();
+void Exchange::Cancel() {
   const TimePoint now = BootClock::now();
   const MoveStep step =
       this->attempt ? this->attempt->move.step : MoveStep::kNone;
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -78,6 +78,17 @@
   this->excluded_servers.push_back(this->attempt->server->server.id);
   move.target = this->ChooseServer();
   this->excluded_servers.pop_back();
+  auto encoded = move.target ? this->EncodeMove(false) : std::nullopt;
+  if (move.target && !encoded) {
+    move.step = MoveStep::kEnded;
+    this->core.counters.Get("moves_total", "result=\"not_encodable\"").Add();
+    this->core.log.Write(
+        EventLevel::kWarning, "move_not_encodable",
+        {{"id", this->request.facts.attempt_id},
+         {"server", this->attempt->server->server.id},
+         {"reason", "the attempt id is not UTF-8; the stream stays"}});
+    return;
+  }
   const bool allowed = move.target && this->core.budget.TakeRetry(
                                           this->service_name, this->core.nodes,
                                           BootClock::now());
@@ -88,17 +99,20 @@
   }
   move.step = MoveStep::kCopying;
   move.source_address = ToString(this->attempt->server->server.address);
-  this->SendMoveRequest(false);
+  this->SendMoveRequest(std::move(*encoded), false);
 }
 
-void Exchange::SendMoveRequest(bool stop) {
-  const std::shared_ptr<PooledServer> target = this->attempt->move.target;
+std::optional<httpio::InboundRequest> Exchange::EncodeMove(bool stop) const {
   MoveRequest move_request;
   move_request.attempt_id = this->request.facts.attempt_id;
-  move_request.target_address = ToString(target->server.address);
+  move_request.target_address =
+      ToString(this->attempt->move.target->server.address);
   move_request.stop = stop;
-  httpio::InboundRequest encoded =
-      this->core.codec.EncodeMoveRequest(move_request);
+  return this->core.codec.EncodeMoveRequest(move_request);
+}
+
+void Exchange::SendMoveRequest(httpio::InboundRequest encoded, bool stop) {
+  const std::shared_ptr<PooledServer> target = this->attempt->move.target;
   httpio::HttpCall call;
   call.method = std::move(encoded.method);
   call.target = std::move(encoded.target);
@@ -113,7 +127,8 @@
     // been sent to another server.
     if (self && !self->done && self->attempt &&
         self->attempt->connection == source) {
-      self->OnMoveResponse(stop, result);
+      self->Protect("move_response",
+                    [&] { self->OnMoveResponse(stop, result); });
       return;
     }
     if (result.head) {
@@ -170,12 +185,13 @@
     this->OnStopResponse(answer, result.sent_at.has_value());
     return;
   }
-  if (!answer.copied) {
+  auto encoded = answer.copied ? this->EncodeMove(true) : std::nullopt;
+  if (!encoded) {
     move.step = MoveStep::kEnded;
     return;
   }
   move.step = MoveStep::kStopping;
-  this->SendMoveRequest(true);
+  this->SendMoveRequest(std::move(*encoded), true);
 }
 
 void Exchange::OnStopResponse(const MoveResponse& answer, bool was_sent) {
--- a/packages/relay/src/upstream_connection_base.cc
+++ b/packages/relay/src/upstream_connection_base.cc
@@ -109,7 +109,15 @@
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         size_t size) {
         self->reading = false;
-        self->OnRead(error, size);
+        try {
+          self->OnRead(error, size);
+        } catch (...) {
+          // The listener handles its own exceptions; without a further read,
+          // the request would wait for its timeout.
+          self->reusable = false;
+          self->Fail(AttemptFailure::kMalformed);
+          throw;
+        }
       });
 }
 
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -25,6 +25,11 @@
  * the quota between two reports by more than the deployment allows. */
 constexpr double kSmallRateFactor = 5;
 
+/** Longest wait that a client is told, in seconds: a day, the longest deadline
+ * of a request. A configured rate can be so low that the time is out of range.
+ */
+constexpr double kMaxWaitSeconds = 24.0 * 60 * 60;
+
 }  // namespace
 
 double QuotaCost(const Customer& customer, const RequestFacts& facts) {
@@ -214,7 +219,7 @@
   if (!this->UsesSharedLevel(bucket)) {
     seconds = -bucket.own_level * this->nodes / (kOwnShareFactor * bucket.rate);
   }
-  seconds = std::max(0.0, seconds);
+  seconds = std::clamp(seconds, 0.0, kMaxWaitSeconds);
   return Milliseconds(static_cast<int64_t>(seconds * 1000));
 }
 
