Learn the speed of each backend server and route by it

Cause: routing treated the servers of a service as equal, so that slow servers got as many requests as fast ones, and each node had to meet the failures of a server itself.

Change: packages/servermodel fits the time of an average server under a given load to this node's event gaps, times to the first event and response times. The routing policies divide the expected time by the speed; the share of failed attempts at all nodes counts as failure rate; servers that warm up count as at most half as fast. A server that becomes slow or normal is logged.

--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -17,6 +17,7 @@
 #include "httpio/server_connection_base.h"
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
+#include "servermodel/server_speeds_base.h"
 #include "serving/attempt_observer_base.h"
 #include "serving/config_type.h"
 #include "serving/crash_attribution_base.h"
@@ -175,6 +176,10 @@
       const serving::Route& route,
       const serving::RequestFacts& facts) const;
 
+  /** Applies the learned speeds to the servers of the pool, and logs servers
+   * that became slow or normal. */
+  void ApplyServerSpeeds();
+
   /** Counts a request that began to run for the usage report. */
   void CountUsage(const std::string& customer, TimePoint now);
 
@@ -210,6 +215,7 @@
   TimePoint next_crash_evaluation;
   std::unique_ptr<serving::RoutingPolicy> engine_policy;
   std::unique_ptr<serving::RoutingPolicy> plain_policy;
+  servermodel::ServerSpeeds server_speeds;
   /** Members that learn from attempts; not owned. */
   std::vector<serving::AttemptObserver*> observers;
   /** Members that exchange state with other nodes; not owned. */
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -182,7 +182,10 @@
           !current.inputs.copy_from.empty(),
           current.resumes,
           current.first_event,
-          current.started};
+          current.started,
+          current.server->own_load.running + current.server->peer_load.running,
+          uint64_t{current.server->own_load.prefill_tokens} +
+              current.server->peer_load.prefill_tokens};
 }
 
 void Exchange::RecordEventGap(TimePoint now) {
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -57,6 +57,10 @@
 /** Maximum number of broken requests kept per server; more than its slots. */
 constexpr size_t kMaxBrokenRequests = 256;
 
+/** Highest speed assumed of a server that still warms up. Chosen, not measured:
+ * it gets work only where the others have twice as much to do. */
+constexpr double kColdSpeed = 0.5;
+
 /** Number of prefixes per server above which expired ones are removed. */
 constexpr size_t kMaxPrefixes = 1024;
 
@@ -114,6 +118,10 @@
       pooled = std::make_shared<PooledServer>();
       pooled->distance = this->DistanceTo(listed.zone);
     }
+    if (pooled->server.cold_left_ms != listed.cold_left_ms) {
+      // Stated as of the entry's last change.
+      pooled->cold_until = now + std::chrono::milliseconds(listed.cold_left_ms);
+    }
     pooled->server = listed;
     pooled->listed = true;
     if (!listed.draining && !this->IsLeaving(*pooled)) {
@@ -249,7 +257,9 @@
   view.running = pooled.own_load.running + pooled.peer_load.running;
   view.prefill_tokens = uint64_t{pooled.own_load.prefill_tokens} +
                         pooled.peer_load.prefill_tokens;
-  view.failure_rate = pooled.failure_rate;
+  view.failure_rate = std::max(pooled.failure_rate, pooled.shared_failures);
+  view.speed = now < pooled.cold_until ? std::min(pooled.speed, kColdSpeed)
+                                       : pooled.speed;
   view.avoided = now < pooled.avoid_until;
   const auto sent = pooled.prefixes.find(serving::HashPromptPart(shared_part));
   view.prefix_cached = shared_part != 0 && sent != pooled.prefixes.end() &&
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -84,6 +84,8 @@
       budget(limits.retry_ratio, limits.retry_extra, limits.retry_window),
       engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
+      observers{&this->server_speeds},
+      shared_states{&this->server_speeds},
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {}
 
@@ -122,6 +124,8 @@
   this->servers_revision = next->revision;
   const TimePoint now = BootClock::now();
   this->pool.Update(*next, now);
+  this->server_speeds.SetServers(*next, now);
+  this->ApplyServerSpeeds();
   this->RequestStopNotices(now);
   this->StartWaitingRequests();
 }
@@ -231,6 +235,7 @@
   for (serving::SharedState* state : this->shared_states) {
     state->MergePeers(summary, BootClock::now());
   }
+  this->ApplyServerSpeeds();
   bool any_leaves = false;
   for (const serving::LeavingServer& announced : summary.leaving) {
     any_leaves |= this->pool.Leaving().Merge(announced, BootClock::now());
@@ -249,6 +254,35 @@
   }
 }
 
+void TrafficCore::ApplyServerSpeeds() {
+  for (const auto& [id, pooled] : this->pool.All()) {
+    const servermodel::ServerEstimate estimate =
+        this->server_speeds.EstimateOf(pooled->server);
+    pooled->speed = estimate.speed;
+    pooled->shared_failures = estimate.failure_share;
+  }
+  constexpr double kPercent = 100;
+  for (const servermodel::SpeedChange& change :
+       this->server_speeds.TakeChanges()) {
+    this->log.Write(
+        EventLevel::kInfo, change.slow ? "server_slow" : "server_speed_normal",
+        {{"server", change.server},
+         {"service", change.service},
+         {"speed_percent",
+          static_cast<int64_t>(kPercent * change.estimate.speed)},
+         {"sample_weight", static_cast<int64_t>(change.estimate.recent_weight)},
+         {"failed_percent",
+          static_cast<int64_t>(kPercent * change.estimate.failure_share)}});
+  }
+  for (const auto& [service, slow] : this->server_speeds.SlowServers()) {
+    this->counters
+        .Get("slow_servers", "service=\"" + service + "\"", MetricKind::kGauge)
+        .Set(slow);
+  }
+  this->counters.Get("speed_reports_invalid", {}, MetricKind::kGauge)
+      .Set(static_cast<int64_t>(this->server_speeds.InvalidReports()));
+}
+
 int64_t TrafficCore::ClusterTimeMs(TimePoint now) const {
   if (!this->wall_offset_ms) {
     return WallNow().time_since_epoch().count();
--- /dev/null
+++ b/packages/servermodel/include/servermodel/server_speeds_base.h
@@ -0,0 +1,146 @@
+/**
+ * @file server_speeds_base.h
+ * Speed of each backend server relative to the others of its service, learned
+ * by all nodes together.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time_type.h"
+#include "servermodel/load_fit_base.h"
+#include "servermodel/speed_report_type.h"
+#include "serving/attempt_observer_base.h"
+#include "serving/server_type.h"
+#include "serving/shared_state_base.h"
+
+namespace boragewharf::servermodel {
+
+/** Identifies a server from its start to its end in messages. A restart gives
+ * another key, so that samples of the previous lifetime are ignored.
+ * @note Thread-safe. */
+serving::NameHash LifetimeKey(const serving::BackendServer& server);
+
+/** What is known of a server. */
+struct ServerEstimate {
+  double speed = 1;          ///< 1 is the average of its service.
+  double recent_weight = 0;  ///< Precision of the recent samples.
+  double failure_share = 0;  ///< Of recent attempts of all nodes.
+};
+
+/** A server that has become slow or normal, for the log. */
+struct SpeedChange {
+  std::string server;
+  std::string service;
+  bool slow = false;
+  ServerEstimate estimate;
+};
+
+/**
+ * Learns speeds from the attempts of this node and the reports of the others.
+ *
+ * A sample is the logarithm of the expected time of the service's average
+ * server under the same load, divided by the observed time. The recent samples
+ * of all nodes are combined with the server's lasting level, which is shrunk
+ * towards the service's average (empirical Bayes; Efron and Morris, 1975).
+ * Not thread-safe; times are passed in.
+ */
+class ServerSpeeds : public serving::AttemptObserver,
+                     public serving::SharedState {
+ public:
+  /** Applies a server list. Estimates of removed servers are dropped. */
+  void SetServers(const serving::ServerSet& set, TimePoint now);
+
+  /** The estimate as of the last Update(); the average for an unknown server.
+   */
+  ServerEstimate EstimateOf(const serving::BackendServer& server) const;
+
+  /** Recomputes the estimates. MergePeers() calls it. */
+  void Update(TimePoint now);
+
+  /** Servers that became slow or normal since the last call. */
+  std::vector<SpeedChange> TakeChanges();
+
+  /** Number of slow servers, by service. */
+  std::map<std::string, uint32_t> SlowServers() const;
+
+  /** Reports that could not be decoded, since start. */
+  uint64_t InvalidReports() const { return this->invalid_reports; }
+
+  void OnFirstEvent(const serving::AttemptView& attempt,
+                    Duration after,
+                    TimePoint now) override;
+  void OnEventGaps(const serving::AttemptView& attempt,
+                   std::span<const Duration> gaps,
+                   TimePoint now) override;
+  void OnEnded(const serving::AttemptView& attempt,
+               serving::AttemptOutcome outcome,
+               Duration after,
+               TimePoint now) override;
+  void AppendExtensions(std::vector<serving::PeerExtension>& extensions,
+                        TimePoint now) override;
+  void MergePeers(const serving::PeerSummary& summary, TimePoint now) override;
+
+ private:
+  /** Decayed samples of a server. */
+  struct Samples {
+    double log_sum = 0;  ///< Of the speeds, times their weights.
+    double weight = 0;   ///< Precision of the mean.
+    double ended = 0;
+    double failed = 0;
+
+    void Scale(double factor);
+    void Add(const Samples& other);
+    double Mean() const { return this->log_sum / this->weight; }
+  };
+
+  struct Server {
+    std::string id;
+    std::string service;
+    uint32_t slots = 1;
+    Samples own;  ///< As of own_updated.
+    TimePoint own_updated;
+    TimePoint last_sample;
+    Samples recent;   ///< Of all nodes, as of the last Update().
+    Samples lasting;  ///< Integral of recent over the last seconds.
+    double log_speed = 0;
+    bool slow = false;
+  };
+
+  /** The last report of another node. */
+  struct PeerReport {
+    TimePoint received;
+    std::vector<SpeedEntry> entries;
+  };
+
+  /** Expected times of a service at this node. */
+  struct ServiceFits {
+    LoadFit gaps;
+    std::map<std::string, LoadFit> first_events;  ///< By route.
+    std::map<std::string, LoadFit> responses;     ///< By route.
+  };
+
+  Server* Find(const serving::BackendServer& server);
+  static void DecayOwn(Server& server, TimePoint now);
+  void AddSample(Server& server,
+                 LoadFit& fit,
+                 const LoadPoint& load,
+                 double ms,
+                 TimePoint now);
+  void SumRecent(TimePoint now);
+  void EstimateService(std::vector<Server*>& members);
+  void RecordChange(Server& server);
+
+  std::unordered_map<serving::NameHash, Server> servers;  ///< By LifetimeKey().
+  std::map<std::string, ServiceFits> services;
+  std::unordered_map<uint32_t, PeerReport> peers;  ///< By sender.
+  std::vector<SpeedChange> changes;
+  TimePoint updated;
+  uint64_t invalid_reports = 0;
+};
+
+}  // namespace boragewharf::servermodel
--- a/packages/serving/include/serving/attempt_observer_base.h
+++ b/packages/serving/include/serving/attempt_observer_base.h
@@ -20,7 +20,7 @@
 struct AttemptView {
   const BackendServer& server;
   const Route& route;
-  std::string_view customer;  ///< Empty on anonymous routes.
+  std::string_view customer{};  ///< Empty on anonymous routes.
   Distance distance = Distance::kSameZone;
   bool engine = false;         ///< The service's servers are model engines.
   uint32_t running_seen = 0;   ///< Other requests at the server when chosen.
@@ -29,7 +29,9 @@
   bool copies_prefix = false;  ///< The server copies a part of the prompt.
   bool resumes = false;        ///< Continues a stream; reads little.
   bool first_event = false;    ///< An event has arrived.
-  TimePoint started;           ///< When the server was chosen.
+  TimePoint started{};         ///< When the server was chosen.
+  uint32_t running_now = 0;    ///< Requests at the server, this one included.
+  uint64_t prefill_now = 0;    ///< Their prompt tokens still to be read.
 };
 
 /** How an attempt ended. */
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -28,6 +28,8 @@
   double failure_rate = 0;      ///< Recent share of failed requests, 0 to 1.
   bool avoided = false;         ///< Failed repeatedly in the last moments.
   bool prefix_cached = false;  ///< A node recently sent the shared parts to it.
+  /** Learned speed relative to the average server of the service; above 0. */
+  double speed = 1;
 };
 
 /** Properties of a request that the choice depends on. */
@@ -70,7 +72,8 @@
 /**
  * Creates a policy that minimizes the expected time to the first token. The
  * estimate includes the queued prompts and running requests of a server, and
- * the tokens of the request that it has not cached; traffic between regions is
+ * the tokens of the request that it has not cached, all divided by the server's
+ * speed; traffic between regions is
  * counted as additional time. The policy compares the servers that own or have
  * cached the prefix with a few random other servers. A server without the
  * prefix copies it from one that has it, if that is cheaper than computing it
@@ -79,8 +82,8 @@
  */
 std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy(uint64_t seed);
 
-/** Creates a policy that prefers servers with few running requests, and near
- * ones; for services without an engine. */
+/** Creates a policy that prefers servers with few running requests for their
+ * speed, and near ones; for services without an engine. */
 std::unique_ptr<RoutingPolicy> MakeLeastRunningPolicy();
 
 }  // namespace boragewharf::serving
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -87,6 +87,9 @@
   if (view.running >= slots) {
     delay += kQueuedDelayMs * (view.running - slots + 1);
   }
+  delay /= view.speed;
+  // The request's own part of the batch is the same on all average servers.
+  delay += kBatchDelayMs / slots * (1 / view.speed - 1);
   delay += kFailureDelayMs * view.failure_rate;
   if (view.avoided) {
     delay += 10 * kFailureDelayMs;
@@ -161,15 +164,18 @@
   bool is_copied = false;    ///< Copied from another server.
 };
 
-/** Time to read a number of prompt tokens, in milliseconds. */
-double PrefillMs(const RouteRequest& request, double tokens) {
-  return tokens / request.prefill_tokens_per_ms.value_or(kAssumedTokensPerMs);
+/** Time of a server to read a number of prompt tokens, in milliseconds. */
+double PrefillMs(const RouteRequest& request,
+                 const ServerView& view,
+                 double tokens) {
+  return tokens / (view.speed *
+                   request.prefill_tokens_per_ms.value_or(kAssumedTokensPerMs));
 }
 
 PrefixCost CostOfPrefix(const RouteRequest& request,
                         const ServerView& view,
                         const ServerView* source) {
-  const double prefill_ms = PrefillMs(request, request.shared_tokens);
+  const double prefill_ms = PrefillMs(request, view, request.shared_tokens);
   if (source == nullptr || request.copy_ms_per_token <= 0 ||
       request.shared_tokens < kMinCopiedTokens) {
     return {prefill_ms, (kRecomputeWeight - 1) * prefill_ms,
@@ -213,9 +219,9 @@
         prefix.price_ms = 0;
       }
       const double backlog =
-          PrefillMs(request, static_cast<double>(view.prefill_tokens));
+          PrefillMs(request, view, static_cast<double>(view.prefill_tokens));
       const double expected = LoadDelay(view) + backlog + prefix.delay_ms +
-                              PrefillMs(request, own_tokens);
+                              PrefillMs(request, view, own_tokens);
       const double cost =
           expected + prefix.price_ms + DistanceDelay(view, request.body_bytes);
       if (!best || cost < best_cost) {
