Bound the bytes of speed reports and drop differences that are noise

Cause: a report had all servers with recent samples, 300 to 700 bytes per message, which 300 nodes cannot afford; and estimates of equal servers differed by 0.055 to 0.072 (standard deviation of the logarithm), which all nodes followed at the same time.

Change: an entry has 8 instead of 10 bytes, receivers keep a node's last entry for each server, and a message has the servers that were reported least recently, within 20 kB/s received per node. Estimates that differ no more than those of equal servers count as the average.

--- a/packages/servermodel/include/servermodel/server_speeds_base.h
+++ b/packages/servermodel/include/servermodel/server_speeds_base.h
@@ -7,7 +7,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +27,10 @@
  * @note Thread-safe. */
 serving::NameHash LifetimeKey(const serving::BackendServer& server);
 
+/** Decodes the payload of a ExtensionKind::kServerSpeeds from any bytes; empty
+ * if it is not a report. @note Thread-safe. */
+std::optional<SpeedReport> DecodeReport(std::string_view payload);
+
 /** What is known of a server. */
 struct ServerEstimate {
   double speed = 1;          ///< 1 is the average of its service.
@@ -105,16 +111,17 @@
     Samples own;  ///< As of own_updated.
     TimePoint own_updated;
     TimePoint last_sample;
-    Samples recent;   ///< Of all nodes, as of the last Update().
-    Samples lasting;  ///< Integral of recent over the last seconds.
+    TimePoint reported_at;  ///< When the other nodes were last told.
+    Samples recent;         ///< Of all nodes, as of the last Update().
+    Samples lasting;        ///< Integral of recent over the last seconds.
     double log_speed = 0;
     bool slow = false;
   };
 
-  /** The last report of another node. */
-  struct PeerReport {
+  /** The last entry of another node for a server. */
+  struct PeerEntry {
     TimePoint received;
-    std::vector<SpeedEntry> entries;
+    SpeedEntry entry;
   };
 
   /** Expected times of a service at this node. */
@@ -131,13 +138,23 @@
                  const LoadPoint& load,
                  double ms,
                  TimePoint now);
+  size_t MaxEntries() const;
+  void ChooseReported(TimePoint now);
+  void MergeReport(uint32_t sender,
+                   const SpeedReport& report,
+                   TimePoint received);
   void SumRecent(TimePoint now);
   void EstimateService(std::vector<Server*>& members);
   void RecordChange(Server& server);
 
   std::unordered_map<serving::NameHash, Server> servers;  ///< By LifetimeKey().
   std::map<std::string, ServiceFits> services;
-  std::unordered_map<uint32_t, PeerReport> peers;  ///< By sender.
+  /** By sender, then in any order. */
+  std::unordered_map<uint32_t, std::vector<PeerEntry>> peers;
+  std::vector<serving::NameHash> reported;  ///< Servers in the next message.
+  TimePoint reported_until;
+  uint32_t nodes = 1;
+  Duration message_period{};
   std::vector<SpeedChange> changes;
   TimePoint updated;
   uint64_t invalid_reports = 0;
