Separate long and short prompts where long ones delay short ones

Cause: short prompts wait behind long ones that other nodes sent within the last half second, even when servers are half used.

Change: each node learns the prompt lengths of an engine service. Where a request that meets a long prompt waits for half its objective on average, the first servers by hash of each zone are set aside for long prompts, by their share of the work; a server for the other length costs an objective more. The gauges slow_servers and servers_for_long_prompts and a log line show it.

--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -52,9 +52,10 @@
   double failure_rate = 0;            ///< Share of failed attempts, smoothed.
   uint32_t failures_in_row = 0;
   TimePoint avoid_until;
-  double speed = 1;            ///< Learned; 1 is the service's average.
-  double shared_failures = 0;  ///< Share of failed attempts at all nodes.
-  TimePoint cold_until;        ///< Warms up until then.
+  double speed = 1;               ///< Learned; 1 is the service's average.
+  double shared_failures = 0;     ///< Share of failed attempts at all nodes.
+  bool for_long_prompts = false;  ///< Set aside for them.
+  TimePoint cold_until;           ///< Warms up until then.
   /** Until then the server wants no requests from this node. */
   TimePoint no_requests_until;
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -257,6 +257,7 @@
       wanted.prefill_tokens_per_ms = speed->second;
     }
   }
+  this->core.server_speeds.ClassifyLength(this->service_name, wanted);
   serving::RoutingPolicy& policy =
       engine ? *this->core.engine_policy : *this->core.plain_policy;
   const auto choice = policy.Choose(wanted, views);
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -258,6 +258,7 @@
   view.prefill_tokens = uint64_t{pooled.own_load.prefill_tokens} +
                         pooled.peer_load.prefill_tokens;
   view.failure_rate = std::max(pooled.failure_rate, pooled.shared_failures);
+  view.for_long_prompts = pooled.for_long_prompts;
   view.speed = now < pooled.cold_until ? std::min(pooled.speed, kColdSpeed)
                                        : pooled.speed;
   view.avoided = now < pooled.avoid_until;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -260,6 +260,7 @@
         this->server_speeds.EstimateOf(pooled->server);
     pooled->speed = estimate.speed;
     pooled->shared_failures = estimate.failure_share;
+    pooled->for_long_prompts = estimate.for_long;
   }
   constexpr double kPercent = 100;
   for (const servermodel::SpeedChange& change :
@@ -274,10 +275,21 @@
          {"failed_percent",
           static_cast<int64_t>(kPercent * change.estimate.failure_share)}});
   }
-  for (const auto& [service, slow] : this->server_speeds.SlowServers()) {
-    this->counters
-        .Get("slow_servers", "service=\"" + service + "\"", MetricKind::kGauge)
-        .Set(slow);
+  for (const auto& [service, summary] : this->server_speeds.Summaries()) {
+    const std::string label = "service=\"" + service + "\"";
+    this->counters.Get("slow_servers", label, MetricKind::kGauge)
+        .Set(summary.slow);
+    Counter& set_aside = this->counters.Get("servers_for_long_prompts", label,
+                                            MetricKind::kGauge);
+    const bool was_separated = set_aside.Get() > 0;
+    set_aside.Set(summary.for_long);
+    if (was_separated != (summary.for_long > 0)) {
+      this->log.Write(
+          EventLevel::kInfo, "prompt_lengths_separated",
+          {{"service", service},
+           {"servers_for_long", summary.for_long},
+           {"long_above_tokens", static_cast<int64_t>(summary.cut_tokens)}});
+    }
   }
   this->counters.Get("speed_reports_invalid", {}, MetricKind::kGauge)
       .Set(static_cast<int64_t>(this->server_speeds.InvalidReports()));
--- a/packages/servermodel/include/servermodel/server_speeds_base.h
+++ b/packages/servermodel/include/servermodel/server_speeds_base.h
@@ -6,14 +6,17 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "base/time_type.h"
+#include "servermodel/length_separation_base.h"
 #include "servermodel/load_fit_base.h"
 #include "servermodel/speed_report_type.h"
 #include "serving/attempt_observer_base.h"
@@ -36,6 +39,15 @@
   double speed = 1;          ///< 1 is the average of its service.
   double recent_weight = 0;  ///< Precision of the recent samples.
   double failure_share = 0;  ///< Of recent attempts of all nodes.
+  bool for_long = false;     ///< Set aside for long prompts.
+};
+
+/** State of a service, for operators. */
+struct ServiceSummary {
+  uint32_t slow = 0;      ///< Servers that were last logged as slow.
+  uint32_t for_long = 0;  ///< Servers set aside for long prompts.
+  bool separated = false;
+  double cut_tokens = 0;  ///< Length above which prompts count as long.
 };
 
 /** A server that has become slow or normal, for the log. */
@@ -68,11 +80,16 @@
   /** Recomputes the estimates. MergePeers() calls it. */
   void Update(TimePoint now);
 
+  /** Sets whether the request's prompt is long and the price of a server for
+   * the other length, where the service's prompts are separated. */
+  void ClassifyLength(std::string_view service,
+                      serving::RouteRequest& request) const;
+
   /** Servers that became slow or normal since the last call. */
   std::vector<SpeedChange> TakeChanges();
 
-  /** Number of slow servers, by service. */
-  std::map<std::string, uint32_t> SlowServers() const;
+  /** State of each service with servers. */
+  std::map<std::string, ServiceSummary> Summaries() const;
 
   /** Reports that could not be decoded, since start. */
   uint64_t InvalidReports() const { return this->invalid_reports; }
@@ -107,6 +124,7 @@
   struct Server {
     std::string id;
     std::string service;
+    std::string zone;
     uint32_t slots = 1;
     Samples own;  ///< As of own_updated.
     TimePoint own_updated;
@@ -115,6 +133,7 @@
     Samples recent;         ///< Of all nodes, as of the last Update().
     Samples lasting;        ///< Integral of recent over the last seconds.
     double log_speed = 0;
+    bool for_long = false;  ///< Set aside for long prompts.
     bool slow = false;
   };
 
@@ -127,6 +146,9 @@
   /** Expected times of a service at this node. */
   struct ServiceFits {
     LoadFit gaps;
+    LengthSeparation lengths;
+    bool separated = false;    ///< Some servers are set aside, and not all.
+    double tokens_per_ms = 0;  ///< As all nodes have measured; 0: unknown.
     std::map<std::string, LoadFit> first_events;  ///< By route.
     std::map<std::string, LoadFit> responses;     ///< By route.
   };
@@ -146,9 +168,12 @@
   void SumRecent(TimePoint now);
   void EstimateService(std::vector<Server*>& members);
   void RecordChange(Server& server);
+  void SeparateLengths(const std::string& service,
+                       std::vector<Server*>& members,
+                       TimePoint now);
 
   std::unordered_map<serving::NameHash, Server> servers;  ///< By LifetimeKey().
-  std::map<std::string, ServiceFits> services;
+  std::map<std::string, ServiceFits, std::less<>> services;
   /** By sender, then in any order. */
   std::unordered_map<uint32_t, std::vector<PeerEntry>> peers;
   std::vector<serving::NameHash> reported;  ///< Servers in the next message.
--- a/packages/servermodel/tests/engine_world.h
+++ b/packages/servermodel/tests/engine_world.h
@@ -21,6 +21,9 @@
 
 namespace boragewharf::servermodel {
 
+/** Prompt tokens per millisecond that nodes assume. */
+inline constexpr double kTokensPerMs = 60;
+
 /** How the nodes of a run get speeds. */
 enum class Knowledge : uint8_t { kNone, kLearned, kTrue };
 
@@ -44,6 +47,7 @@
   };
   /** Share of a server's requests that fail at once. */
   std::function<double(size_t)> failing = [](size_t) { return 0.0; };
+  bool separate = false;  ///< Long and short prompts, where it is called for.
   size_t false_reporters = 0;  ///< Nodes that report random speeds.
   double zone_lost_at = 1e9;   ///< Servers of zone 0 are gone from then on.
 };
@@ -82,6 +86,7 @@
       this->Schedule(this->Uniform() * 200, [this, i] { this->Tick(i); });
     }
     this->route.name = "chat";
+    this->route.goal = std::chrono::milliseconds(300);
     this->route.kind = serving::RouteKind::kStream;
   }
 
@@ -165,6 +170,7 @@
     this->Schedule(this->now + 200, [this, index] { this->Tick(index); });
     serving::PeerSummary summary;
     summary.extensions = std::exchange(node.inbox, {});
+    summary.prefill_speeds[serving::HashName("llm")] = kTokensPerMs;
     summary.nodes = static_cast<uint32_t>(this->model.nodes);
     summary.message_period = Span(this->model.report_period);
     node.speeds.MergePeers(summary, At(this->now));
@@ -250,6 +256,7 @@
           view.prefill_tokens += other.reported[i].prefill_tokens;
         }
       }
+      view.for_long_prompts = node.speeds.EstimateOf(this->listed[i]).for_long;
       if (this->model.knowledge == Knowledge::kLearned) {
         const ServerEstimate estimate = node.speeds.EstimateOf(this->listed[i]);
         view.speed = estimate.speed;
@@ -263,7 +270,10 @@
     }
     serving::RouteRequest wanted;
     wanted.prompt_tokens = request->tokens;
-    wanted.prefill_tokens_per_ms = 60;
+    wanted.prefill_tokens_per_ms = kTokensPerMs;
+    if (this->model.separate) {
+      node.speeds.ClassifyLength("llm", wanted);
+    }
     const auto choice = node.policy->Choose(wanted, views);
     if (!choice) {
       return;
--- a/packages/servermodel/tests/server_speeds_load_test.cc
+++ b/packages/servermodel/tests/server_speeds_load_test.cc
@@ -100,6 +100,22 @@
   EXPECT_GE(result.learned, 0.9 * result.known);
 }
 
+// Long prompts that other nodes sent within the last half second delay short
+// ones, even when servers are half used. Guards against a separation that costs
+// long prompts more than short ones gain.
+TEST(ServerSpeedsLoadTest, LongPromptsGetServersOfTheirOwn) {
+  WorldModel model;
+  model.requests_per_s = 210;
+  model.duration = 24000;
+  model.warm_up = 14000;
+  model.wave = 0;
+  const double together = InTime(model, Knowledge::kLearned);
+  model.separate = true;
+  const double separated = InTime(model, Knowledge::kLearned);
+  std::printf("in time: together %.3f, separated %.3f\n", together, separated);
+  EXPECT_LT(1 - separated, 0.7 * (1 - together));
+}
+
 // Two nodes send random reports. Their weight is bounded.
 TEST(ServerSpeedsLoadTest, FalseReportsHaveLittleEffect) {
   WorldModel model;
--- a/packages/servermodel/tests/server_speeds_test.cc
+++ b/packages/servermodel/tests/server_speeds_test.cc
@@ -162,6 +162,30 @@
   EXPECT_LT(this->nodes[0].EstimateOf(this->set.servers[0]).failure_share, 0.1);
 }
 
+// Guards against a separation where lengths vary little, or where nobody waits.
+TEST(LengthSeparationTest, StartsOnlyWhereLongPromptsDelayShortOnes) {
+  const auto separation = [](uint32_t long_tokens, double goal_ms) {
+    LengthSeparation lengths;
+    TimePoint now{milliseconds(1000)};
+    for (int i = 0; i < 400; ++i) {
+      now += milliseconds(50);
+      lengths.AddPrompt(i % 5 == 0 ? long_tokens : 1500, goal_ms, now);
+      lengths.AddEvents(40, now);
+      lengths.Update({60, 0.3}, now);
+    }
+    return lengths;
+  };
+  const LengthSeparation needed = separation(20000, 400);
+  EXPECT_TRUE(needed.Active());
+  EXPECT_TRUE(needed.IsLong(20000));
+  EXPECT_FALSE(needed.IsLong(1500));
+  // 333 ms against four times 25 ms of reading, and 12 ms of events for each.
+  EXPECT_NEAR(needed.LongShare(), 345.0 / (345 + 4 * 37), 0.05);
+  EXPECT_FALSE(separation(2500, 400).Active()) << "lengths vary little";
+  EXPECT_FALSE(separation(20000, 4000).Active()) << "the objective allows it";
+  EXPECT_FALSE(separation(20000, 0).Active()) << "no objective";
+}
+
 // Reports stay within their bytes with thousands of servers.
 TEST_F(ServerSpeedsTest, ReportOfManyServersIsBounded) {
   const auto report_bytes = [&](int servers) {
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -30,6 +30,8 @@
   bool prefix_cached = false;  ///< A node recently sent the shared parts to it.
   /** Learned speed relative to the average server of the service; above 0. */
   double speed = 1;
+  /** Set aside for long prompts. */
+  bool for_long_prompts = false;
 };
 
 /** Properties of a request that the choice depends on. */
@@ -44,6 +46,10 @@
   /** Milliseconds to copy the KV memory of a token from another server of the
    * same zone; 0: the servers cannot copy. */
   double copy_ms_per_token = 0;
+  /** Whether the prompt is long; empty where lengths are not separated. */
+  std::optional<bool> long_prompt;
+  /** Price of a server that is for prompts of another length, as time. */
+  double other_length_ms = 0;
 };
 
 /** The chosen candidate. */
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -56,6 +56,10 @@
 constexpr size_t kOwnRegionSamples = 3;
 constexpr size_t kOtherRegionSamples = 2;
 
+/** Random servers of the own region that are compared besides, of those set
+ * aside for prompts of another length. */
+constexpr size_t kOtherLengthSamples = 2;
+
 /** Queued requests per slot from which a server rejects further ones. */
 constexpr double kMaxQueuedPerSlot = 1.5;
 
@@ -115,14 +119,23 @@
   }
 };
 
-PrefixOwners FindOwners(uint64_t part, std::span<const ServerView> candidates) {
+/** Whether a server is for prompts of another length than the request's. */
+bool IsForOtherLength(const RouteRequest& request, const ServerView& view) {
+  return request.long_prompt && *request.long_prompt != view.for_long_prompts;
+}
+
+PrefixOwners FindOwners(const RouteRequest& request,
+                        std::span<const ServerView> candidates) {
   PrefixOwners owners;
   uint64_t first_rank = 0;
   uint64_t second_rank = 0;
   uint64_t other_region_rank = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const ServerView& view = candidates[i];
-    const uint64_t rank = AffinityRank(part, *view.server);
+    if (IsForOtherLength(request, view)) {
+      continue;
+    }
+    const uint64_t rank = AffinityRank(request.shared_part, *view.server);
     if (view.distance == Distance::kOtherRegion) {
       if (!owners.other_region || rank > other_region_rank) {
         owners.other_region = i;
@@ -198,7 +211,7 @@
     PrefixOwners owners;
     std::optional<size_t> source;
     if (request.shared_part != 0) {
-      owners = FindOwners(request.shared_part, candidates);
+      owners = FindOwners(request, candidates);
       source = FindCopySource(candidates);
     }
     const uint32_t own_tokens =
@@ -206,7 +219,7 @@
         std::min(request.prompt_tokens, request.shared_tokens);
     std::optional<RouteChoice> best;
     double best_cost = 0;
-    for (const size_t i : this->Shortlist(candidates, owners)) {
+    for (const size_t i : this->Shortlist(request, candidates, owners)) {
       const ServerView& view = candidates[i];
       PrefixCost prefix;
       if (!view.prefix_cached) {
@@ -223,7 +236,8 @@
       const double expected = LoadDelay(view) + backlog + prefix.delay_ms +
                               PrefillMs(request, view, own_tokens);
       const double cost =
-          expected + prefix.price_ms + DistanceDelay(view, request.body_bytes);
+          expected + prefix.price_ms + DistanceDelay(view, request.body_bytes) +
+          (IsForOtherLength(request, view) ? request.other_length_ms : 0);
       if (!best || cost < best_cost) {
         best = RouteChoice{i, expected, own_tokens + prefix.read_tokens,
                            prefix.is_copied ? source : std::nullopt};
@@ -239,11 +253,13 @@
    * few random ones. Reports of other nodes are outdated; if all nodes compared
    * all servers, they would choose the same one until the next report.
    */
-  std::vector<size_t> Shortlist(std::span<const ServerView> candidates,
+  std::vector<size_t> Shortlist(const RouteRequest& request,
+                                std::span<const ServerView> candidates,
                                 const PrefixOwners& owners) {
     std::vector<size_t> shortlist;
     std::vector<size_t> own_region;
     std::vector<size_t> other_region;
+    std::vector<size_t> other_length;
     std::vector<size_t> avoided;
     for (size_t i = 0; i < candidates.size(); ++i) {
       const ServerView& view = candidates[i];
@@ -256,6 +272,8 @@
         shortlist.push_back(i);
       } else if (view.distance == Distance::kOtherRegion) {
         other_region.push_back(i);
+      } else if (IsForOtherLength(request, view)) {
+        other_length.push_back(i);
       } else {
         own_region.push_back(i);
       }
@@ -266,6 +284,9 @@
     std::sample(other_region.begin(), other_region.end(),
                 std::back_inserter(shortlist), kOtherRegionSamples,
                 this->generator);
+    std::sample(other_length.begin(), other_length.end(),
+                std::back_inserter(shortlist), kOtherLengthSamples,
+                this->generator);
     return shortlist.empty() ? avoided : shortlist;
   }
 
