--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -273,7 +273,8 @@
       choice->read_tokens,
       choice->copy_from
           ? ToString(candidates[*choice->copy_from]->server.address)
-          : ""};
+          : "",
+      static_cast<int64_t>(100 * view.speed)};
   return candidates[choice->index];
 }
 
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -85,10 +85,11 @@
     int64_t expected_ms = -1;  ///< Expected time to the first token.
     uint32_t running = 0;      ///< Requests running at the server.
     uint64_t prefill_tokens = 0;
-    int64_t load_age_ms = -1;  ///< Age of the other nodes' load reports.
-    uint32_t read_tokens = 0;  ///< Prompt tokens left to process.
-    std::string copy_from;     ///< Address of the server from which it
-                               ///< copies the prefix, or empty.
+    int64_t load_age_ms = -1;     ///< Age of the other nodes' load reports.
+    uint32_t read_tokens = 0;     ///< Prompt tokens left to process.
+    std::string copy_from;        ///< Address of the server from which it
+                                  ///< copies the prefix, or empty.
+    int64_t speed_percent = 100;  ///< Learned speed of the server.
   };
 
   /** Steps of moving a running stream to another server. A move starts only
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -131,6 +131,7 @@
        {"running_seen", this->choice_inputs.running},
        {"prefill_seen", this->choice_inputs.prefill_tokens},
        {"load_age_ms", this->choice_inputs.load_age_ms},
+       {"speed_percent", this->choice_inputs.speed_percent},
        {"copy_from", this->choice_inputs.copy_from},
        {"total_ms", Millis(now - this->arrived)},
        {"status", status},
