Carry out roll-outs that operators request in the store

The object rollouts/SERVICE was read nowhere, so servers of a new version got their full share of requests at once. The reducer now follows the requests, decides under the duty lease and writes the status on condition of the revision; nodes tell each other decisions and evidence in extensions, and the data plane selects servers by version. Without the three bounds in the settings nothing is read, sent or selected.

A decision that no holder has confirmed for half of rollbackMs gives the target no requests.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -19,6 +19,7 @@
 #include "fleet/scaling_policy_base.h"
 #include "lease/lease_type.h"
 #include "lease/permit_base.h"
+#include "rollout/rollout_table_base.h"
 #include "serving/config_type.h"
 #include "serving/peer_type.h"
 #include "serving/server_type.h"
@@ -39,6 +40,8 @@
   Duration usage_late{};
   bool orders_servers = false;  ///< Whether the duty holder orders servers.
   lease::LeaseTiming lease_timing;
+  /** Bounds of roll-outs; empty if this deployment has none. */
+  std::optional<rollout::RolloutBounds> rollout_bounds;
 };
 
 /** Number of requests that started in a usage window, by customer name. */
@@ -150,6 +153,25 @@
   serving::SuspectReport suspects = {};
 };
 
+/** All roll-out requests were read. */
+struct RolloutsRead {
+  std::vector<rollout::RolloutRequest> requests;
+};
+
+/** One roll-out request was created, changed or removed. */
+struct RolloutChanged {
+  rollout::RolloutRequest request;
+  bool removed = false;
+};
+
+/** A WriteRolloutStatus effect has completed. */
+struct RolloutStatusWritten {
+  rollout::WriteStatus write;
+  ResultCode code = ResultCode::kStoreUnknown;
+  /** The object after the call, if the response contained it. */
+  std::optional<rollout::RolloutRequest> current;
+};
+
 /** The process was told to stop. */
 struct StopRequested {};
 
@@ -171,6 +193,9 @@
                            UsageSent,
                            ServersOrdered,
                            ProgressRead,
+                           RolloutsRead,
+                           RolloutChanged,
+                           RolloutStatusWritten,
                            StopRequested,
                            Tick>;
 
@@ -275,6 +300,13 @@
   Duration age{};
 };
 
+/** Replace the status of a roll-out request on condition of its revision.
+ * Completes with RolloutStatusWritten. */
+struct WriteRolloutStatus {
+  rollout::WriteStatus write;
+  lease::Permit permit;
+};
+
 /** Write a line to the event log. */
 struct LogChange {
   std::string event;
@@ -298,6 +330,7 @@
                             RestoreQuotas,
                             RestoreBlockedParts,
                             RestoreSuspects,
+                            WriteRolloutStatus,
                             LogChange>;
 
 // State.
@@ -408,6 +441,7 @@
   TimePoint leaving_since;
   /** The next message goes to all regions, not only to this node's own. */
   bool next_message_to_all = false;
+  rollout::RolloutTable rollouts;
 };
 
 /** Interval between saves of quota levels and usage counts. It bounds how
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -25,8 +25,10 @@
   virtual ~Platform() = default;
 
   /**
-   * Starts watching the configuration and the server list. Passes ConfigRead,
-   * ServersRead, ServerChanged and StoreReachable events to @p sink.
+   * Starts watching the configuration and the server list, and the roll-out
+   * requests if the deployment has bounds for them. Passes ConfigRead,
+   * ServersRead, ServerChanged, RolloutsRead, RolloutChanged and StoreReachable
+   * events to @p sink.
    */
   virtual void Follow(EventSink sink) = 0;
 
@@ -59,6 +61,10 @@
    * is replaced by a newer one for the same service, zone and kind. */
   virtual void Order(const OrderServers& order, EventSink sink) = 0;
 
+  /** Writes the status of a roll-out request. Yields RolloutStatusWritten. */
+  virtual void WriteRollout(const WriteRolloutStatus& wanted,
+                            EventSink sink) = 0;
+
   /** Aborts all queued and running calls of Send() and Order(). Their events
    * report failure. */
   virtual void EndDutyCalls() = 0;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "duty_cmd.h"
+#include "rollout_cmd.h"
 #include "scaling_cmd.h"
 #include "spread_cmd.h"
 #include "time_of_day_cmd.h"
@@ -395,6 +396,10 @@
                      state.usage.Merge(received.message.status.ip,
                                        received.message.status.incarnation,
                                        received.message.report.usage);
+                     MergeRolloutExtensions(state, received.message.status.ip,
+                                            received.message.status.incarnation,
+                                            received.message.report.extensions,
+                                            now, effects);
                      FetchNewerState(state, now, effects);
                    }
                  },
@@ -403,6 +408,9 @@
                    state.usage.Merge(state.settings.ip,
                                      state.settings.incarnation,
                                      traffic.report.usage);
+                   MergeRolloutExtensions(
+                       state, state.settings.ip, state.settings.incarnation,
+                       traffic.report.extensions, now, effects);
                  },
                  [&](const FetchEnded& fetch) {
                    state.fetching = false;
@@ -425,6 +433,18 @@
                  [&](const ProgressRead& read) {
                    ApplySavedProgress(state, read, now, effects);
                  },
+                 [&](const RolloutsRead& read) {
+                   ApplyRolloutsRead(state, read, now, effects);
+                   ScheduleMessageNow(state, now);
+                 },
+                 [&](const RolloutChanged& change) {
+                   ApplyRolloutChanged(state, change, now, effects);
+                   ScheduleMessageNow(state, now);
+                 },
+                 [&](const RolloutStatusWritten& written) {
+                   ApplyRolloutStatusWritten(state, written, now, effects);
+                   ScheduleMessageNow(state, now);
+                 },
                  [&](const StopRequested&) {
                    if (!state.leaving) {
                      state.leaving_since = now;
@@ -438,6 +458,7 @@
                    RemoveLapsedServers(state, now, effects);
                    UpdateStoreFollowing(state, now, effects);
                    FetchNewerState(state, now, effects);
+                   AdvanceRollouts(state, now, effects);
                    SendMessage(state, now, effects);
                    AdvanceDuties(state, now, effects);
                  },
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -10,6 +10,7 @@
 
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
+#include "rollout_cmd.h"
 #include "serving/crash_evidence_func.h"
 #include "serving/crash_suspects_base.h"
 
@@ -320,6 +321,10 @@
   };
   std::map<Group, std::vector<std::string>> groups;
   const std::set<std::string> duty_nodes = DutyHoldersAndCandidates(state, now);
+  serving::PeerSummary summary =
+      state.peers.TakeSummary(MessagePeriod(state), now);
+  std::vector<serving::PeerExtension> extensions = state.report.extensions;
+  AddRolloutDecisions(state, now, extensions, summary);
   for (const std::string& ip : state.peers.Targets()) {
     const auto known = state.peers.All().find(ip);
     const bool same_region =
@@ -344,16 +349,14 @@
     if (group.same_region) {
       send.message.report.loads = state.report.loads;
     }
-    send.message.report.extensions = ExtensionsFor(
-        state.report.extensions, group.same_region, group.has_duties);
+    send.message.report.extensions =
+        ExtensionsFor(extensions, group.same_region, group.has_duties);
     if (group.has_duties) {
       send.message.report.usage = state.report.usage;
       send.message.report.demand = state.report.demand;
     }
     effects.emplace_back(std::move(send));
   }
-  serving::PeerSummary summary =
-      state.peers.TakeSummary(MessagePeriod(state), now);
   summary.prefill_speeds = PrefillSpeeds(state, now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
   summary.informed =
--- a/packages/node/include/node/node_settings.h
+++ b/packages/node/include/node/node_settings.h
@@ -14,6 +14,7 @@
 
 #include "base/endpoint_type.h"
 #include "base/json_reader_base.h"
+#include "rollout/rollout_type.h"
 
 namespace boragewharf::node {
 
@@ -30,6 +31,8 @@
   /** How long after the end of a window its usage report is due. */
   std::chrono::milliseconds usage_late{10000};
   double directory_ttl = 5;  ///< Maximum, in seconds.
+  /** Of roll-outs; empty unless all of them are set. */
+  std::optional<rollout::RolloutBounds> rollout;
 };
 
 /** Settings of a node. docs/CONFIG.md lists the keys. */
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -12,6 +12,7 @@
 
 #include "base/time_type.h"
 #include "node/peer_codec.h"
+#include "rollout/rollout_func.h"
 
 namespace boragewharf::node {
 namespace {
@@ -64,6 +65,7 @@
     fleet_settings.usage_window = settings.bounds.usage_window;
     fleet_settings.usage_late = settings.bounds.usage_late;
   }
+  fleet_settings.rollout_bounds = settings.bounds.rollout;
   fleet_settings.orders_servers = has_duty("scale");
   // Leases last longer than the configured minimum, which limits how often the
   // holder may change. The other periods are derived from it.
@@ -213,6 +215,9 @@
           [&](const fleet::OrderServers& order) {
             this->platform.Order(order, handle_event);
           },
+          [&](const fleet::WriteRolloutStatus& status) {
+            this->platform.WriteRollout(status, handle_event);
+          },
           [&](const fleet::EndDutyCalls&) { this->platform.EndDutyCalls(); },
           [&](const fleet::SaveProgress& progress) {
             this->platform.Save(progress);
@@ -416,7 +421,23 @@
                          now - entry.last_message_at)
                          .count()}};
   }
-  return dump.dump();
+  for (const auto& decision : this->state.rollouts.Decisions()) {
+    dump["rollouts"][decision.service] = {
+        {"target", decision.target},
+        {"phase", rollout::NameOf(decision.phase)},
+        {"lease", decision.fencing},
+        {"requestedMsAgo",
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             now - decision.requested)
+             .count()},
+        {"confirmedMsAgo",
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             now - decision.confirmed)
+             .count()},
+        {"banned", decision.banned}};
+  }
+  return dump.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
 }
 
 }  // namespace boragewharf::node
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -69,7 +69,10 @@
                                  boragewharf::EventLog& log,
                                  boragewharf::CounterRegistry& counters) {
     return boragewharf::platform::MakePlatform(
-        loop, {settings.store, settings.cloud, settings.name}, log, counters);
+        loop,
+        {settings.store, settings.cloud, settings.name,
+         settings.bounds.rollout.has_value()},
+        log, counters);
   };
   boragewharf::node::Node node(settings, path, make_platform, *wire);
   return node.Run() ? kExitOk : kExitStart;
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -67,6 +67,7 @@
   bounds.drain = settings.bounds.drain;
   bounds.grace = settings.bounds.grace;
   bounds.first_start = settings.first_start;
+  bounds.rollout = settings.bounds.rollout;
   return bounds;
 }
 
--- a/packages/node/src/node_settings.cc
+++ b/packages/node/src/node_settings.cc
@@ -60,6 +60,14 @@
   bounds.usage_window = ReadSeconds(reader, "usageWindowS", {0, 0, 86400});
   bounds.usage_late = ReadSeconds(reader, "usageLateS", {10, 0, 86400});
   bounds.directory_ttl = reader.Real("directoryTtlS", {5, 0.1, 3600});
+  // Absent keys are told from present ones by values that are out of range.
+  const double share = reader.Real("exposeShare", {-1, -1, 1});
+  const double slack = reader.Real("exposeSlack", {-1, -1, 1e9});
+  const double rollback = reader.Real("rollbackMs", {-1, -1, 600000});
+  if (share > 0 && slack >= 0 && rollback > 0) {
+    bounds.rollout = rollout::RolloutBounds{
+        share, slack, milliseconds(static_cast<int64_t>(rollback))};
+  }
   return bounds;
 }
 
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -13,6 +13,7 @@
 
 #include "httpio/http_channel_base.h"
 #include "relay/upstream_connection_base.h"
+#include "rollout/rollout_agent_base.h"
 #include "serving/leaving_servers_base.h"
 #include "serving/peer_type.h"
 #include "serving/request_type.h"
@@ -73,6 +74,11 @@
              std::map<std::string, std::string> zone_regions,
              Duration leaving_check_period);
 
+  /** Sets what selects servers by their version; not owned, may be nullptr. */
+  void SetRolloutAgent(rollout::RolloutAgent* agent) {
+    this->rollout_agent = agent;
+  }
+
   /** Applies a new list. Requests that run on removed servers go on. */
   void Update(const serving::ServerSet& set, TimePoint now);
 
@@ -198,6 +204,7 @@
   std::deque<serving::PrefixSend> own_prefixes;
   serving::LeavingServers leaving;
   std::vector<CrashSuspect> crash_suspects;
+  rollout::RolloutAgent* rollout_agent = nullptr;
   TimePoint peer_loads_at;
 };
 
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -17,6 +17,7 @@
 #include "httpio/server_connection_base.h"
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
+#include "rollout/rollout_agent_base.h"
 #include "serving/attempt_observer_base.h"
 #include "serving/config_type.h"
 #include "serving/crash_attribution_base.h"
@@ -44,6 +45,8 @@
   Duration grace{};         ///< Time between the stop signal and the kill.
   bool first_start = true;  ///< First start of the whole deployment: no quota
                             ///< has been used yet.
+  /** Of roll-outs; empty if the deployment has none. */
+  std::optional<rollout::RolloutBounds> rollout;
 };
 
 /** Zone and region of the node. */
@@ -210,6 +213,8 @@
   TimePoint next_crash_evaluation;
   std::unique_ptr<serving::RoutingPolicy> engine_policy;
   std::unique_ptr<serving::RoutingPolicy> plain_policy;
+  /** Without bounds for roll-outs, there is none. */
+  std::optional<rollout::RolloutAgent> rollout_agent;
   /** Members that learn from attempts; not owned. */
   std::vector<serving::AttemptObserver*> observers;
   /** Members that exchange state with other nodes; not owned. */
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -331,6 +331,10 @@
   server->own_load.running += 1;
   server->own_load.prefill_tokens += next.prefill_tokens;
   this->core.demand[this->service_name].running += 1;
+  if (this->core.rollout_agent) {
+    this->core.rollout_agent->CountAttempt(
+        server->server, this->sends == 0 && this->excluded_servers.empty());
+  }
   next.connection = this->core.pool.Acquire(*server, max_idle, now);
   this->splitter.Reset();
   this->CountEventBytes();
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -237,6 +237,17 @@
     }
     found.push_back(pooled);
   }
+  if (this->rollout_agent != nullptr && !found.empty()) {
+    std::vector<const serving::BackendServer*> listed;
+    listed.reserve(found.size());
+    for (const auto& pooled : found) {
+      listed.push_back(&pooled->server);
+    }
+    const std::vector<bool> selected =
+        this->rollout_agent->Select(service, listed, now);
+    size_t index = 0;
+    std::erase_if(found, [&](const auto&) { return !selected[index++]; });
+  }
   return found;
 }
 
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -85,7 +85,14 @@
       engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
       generator(std::random_device{}()),
-      demand_updated(BootClock::now()) {}
+      demand_updated(BootClock::now()) {
+  if (limits.rollout) {
+    this->rollout_agent.emplace(*limits.rollout, std::random_device{}());
+    this->pool.SetRolloutAgent(&*this->rollout_agent);
+    this->observers.push_back(&*this->rollout_agent);
+    this->shared_states.push_back(&*this->rollout_agent);
+  }
+}
 
 TrafficCore::~TrafficCore() {
   // Requests in progress use the other members when they end.
@@ -122,6 +129,9 @@
   this->servers_revision = next->revision;
   const TimePoint now = BootClock::now();
   this->pool.Update(*next, now);
+  if (this->rollout_agent) {
+    this->rollout_agent->SetServers(*next);
+  }
   this->RequestStopNotices(now);
   this->StartWaitingRequests();
 }
@@ -340,6 +350,13 @@
   for (serving::SharedState* state : this->shared_states) {
     state->AppendExtensions(report.extensions, now);
   }
+  if (this->rollout_agent) {
+    if (const auto reason = this->rollout_agent->TakeStopReason()) {
+      this->counters.Get("rollouts_stopped_here_total").Add();
+      this->log.Write(EventLevel::kWarning, "rollout_stopped_here",
+                      {{"reason", *reason}});
+    }
+  }
   return report;
 }
 
--- a/packages/rollout/include/rollout/rollout_agent_base.h
+++ b/packages/rollout/include/rollout/rollout_agent_base.h
@@ -96,8 +96,13 @@
   };
 
   Rollout* Find(std::string_view service);
-  /** Whether the rollout's target may be used for the next attempt. */
-  bool DrawTarget(const Rollout& rollout, size_t target, size_t others);
+  /** Whether the rollout's target may be used for the next attempt. A decision
+   * that no holder has confirmed for half of the rollback time allows none,
+   * since only the holder sees the evidence of all nodes. */
+  bool DrawTarget(const Rollout& rollout,
+                  size_t target,
+                  size_t others,
+                  TimePoint now);
   void RecordTime(const serving::AttemptView& attempt,
                   Metric metric,
                   Duration time);
--- a/packages/rollout/include/rollout/version_test_base.h
+++ b/packages/rollout/include/rollout/version_test_base.h
@@ -86,6 +86,9 @@
   /** Mean and variance of the logarithm of a time of the old versions.
    * @return Whether they are known. */
   bool OldTime(const TimeKey& key, double& mean, double& variance) const;
+  /** Whether the old versions have enough samples of exactly these situations.
+   */
+  bool HasOldTimes(uint32_t route, uint16_t situation) const;
   void AddTo(const Group& group,
              const std::map<uint32_t, double>& ratios,
              uint64_t samples);
--- a/packages/rollout/src/rollout_agent_base.cc
+++ b/packages/rollout/src/rollout_agent_base.cc
@@ -75,8 +75,14 @@
 
 bool RolloutAgent::DrawTarget(const Rollout& rollout,
                               size_t target,
-                              size_t others) {
+                              size_t others,
+                              TimePoint now) {
   const RolloutDecision& decision = rollout.decision;
+  const bool unheld = this->bounds.rollback > Duration::zero() &&
+                      now - decision.confirmed > this->bounds.rollback / 2;
+  if (unheld && others > 0 && decision.phase != Phase::kDone) {
+    return false;  // Nobody would notice that the version is bad.
+  }
   if (decision.phase != Phase::kDone &&
       (rollout.stopped || IsBanned(decision, decision.target))) {
     return false;
@@ -123,7 +129,7 @@
       (version == decision.target ? target : others) += ids.size();
     }
   }
-  const bool to_target = this->DrawTarget(*rollout, target, others);
+  const bool to_target = this->DrawTarget(*rollout, target, others, now);
   std::vector<std::string> exposed;
   const bool limited =
       decision.phase == Phase::kObserve || decision.phase == Phase::kLoad;
--- a/packages/rollout/src/rollout_table_base.cc
+++ b/packages/rollout/src/rollout_table_base.cc
@@ -396,7 +396,7 @@
   constexpr double kLoadFrom = 0.55;
   constexpr double kShiftFrom = 0.8;
   /** Part of within_s at which a decision is due. */
-  constexpr double kDecideAt = 0.9;
+  constexpr double kDecideAt = 0.85;
   /** Attempts below which nothing is known of a version. */
   constexpr uint64_t kMinAttempts = 30;
   /** Time after which reports of all nodes have arrived. */
@@ -462,7 +462,7 @@
                             std::vector<Action>& actions) {
   /** Least time in which all requests reach the target before the old servers
    * may stop: a version that fails under load shows it. */
-  constexpr double kMinShiftPart = 0.08;
+  constexpr double kMinShiftPart = 0.1;
   constexpr milliseconds kMinShift(800);
   /** Time that the write and the watch of the platform take. */
   constexpr milliseconds kWriteMargin(500);
--- a/packages/rollout/src/version_test_base.cc
+++ b/packages/rollout/src/version_test_base.cc
@@ -22,14 +22,16 @@
  */
 constexpr double kThresholdWithoutServer = 5;
 
-/** The same when a decision is due: exp(-5.3) = 0.005. */
-constexpr double kSuspectThreshold = 5.3;
+/** The same when a decision is due: exp(-5.3) = 0.005. Times have more samples
+ * than failures, and differ between servers. */
+constexpr double kSuspectFailures = 5.3;
+constexpr double kSuspectTimes = 6.5;
 
 /** The same without the worst server. Failures are rare, and two of them at
- * two servers say much; with 3 for times, one slow server among six made 2 of
+ * two servers say much; with 4 for times, one slow server among six made 2 of
  * 200 good versions suspect. */
 constexpr double kSuspectFailuresElsewhere = 2;
-constexpr double kSuspectTimesElsewhere = 4;
+constexpr double kSuspectTimesElsewhere = 5;
 
 /** Sum at which a version is accepted: a bad one passes with a probability of
  * exp(-6.2) = 0.002. */
@@ -173,6 +175,11 @@
   return true;
 }
 
+bool VersionTest::HasOldTimes(uint32_t route, uint16_t situation) const {
+  const auto found = this->old_times.find({route, situation});
+  return found != this->old_times.end() && found->second.count >= kMinOldTimes;
+}
+
 void VersionTest::AddTo(const Group& group,
                         const std::map<uint32_t, double>& ratios,
                         uint64_t samples) {
@@ -229,9 +236,14 @@
     }
     const double excess = sum.log_sum - sum.count * (mean + difference / 2);
     const Metric metric = MetricOf(key.situation);
-    add({Group{key.route, metric, kAnyLoad}, Group{0, metric, kAnyLoad},
-         Group{0, metric, LoadOf(key.situation)}},
-        key.server, difference / variance * excess / kDependentSamples,
+    std::vector<Group> groups{{key.route, metric, kAnyLoad},
+                              {0, metric, kAnyLoad}};
+    if (this->HasOldTimes(key.route, key.situation)) {
+      // Loads that the old versions have not had are compared with an
+      // assumption only; a slow server reaches them.
+      groups.push_back({0, metric, LoadOf(key.situation)});
+    }
+    add(groups, key.server, difference / variance * excess / kDependentSamples,
         sum.count);
     this->servers.insert(key.server);
   }
@@ -290,7 +302,10 @@
            const double elsewhere = entry.first.metric == Metric::kFailure
                                         ? kSuspectFailuresElsewhere
                                         : kSuspectTimesElsewhere;
-           return score.worse >= kSuspectThreshold &&
+           const double threshold = entry.first.metric == Metric::kFailure
+                                        ? kSuspectFailures
+                                        : kSuspectTimes;
+           return score.worse >= threshold &&
                   (score.without.size() < 2 ||
                    std::ranges::all_of(score.without, [&](const auto& without) {
                      return without.second >= elsewhere;
