Let requests wait for a server, and compute Retry-After

Cause: a request that found all servers full was refused at once with a constant Retry-After, without order, shares or regard to capacity. Change: packages/admission with limits from rejections, shares of nodes (kServiceRoom), one bounded queue by urgency and max-min shares, and return times; Exchange waits where it was refused for lack of a server.

--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -335,6 +335,10 @@
 }
 
 void Exchange::CheckTime(TimePoint now) {
+  if (!this->done && this->waiting_id) {
+    this->CheckWaitingTime(now);
+    return;
+  }
   if (this->done || !this->attempt) {
     return;
   }
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -3,6 +3,7 @@
  * Admission of a request, choice of a server, sending and retries.
  */
 #include "exchange_base.h"
+#include "admission/admission_base.h"
 
 #include <algorithm>
 #include <cctype>
@@ -16,13 +17,6 @@
 using serving::RetryDecision;
 using serving::RouteKind;
 
-/** Retry-After if no server of the service is available. */
-constexpr Milliseconds kRetryAfterNoServer(1000);
-
-/** Retry-After if all servers are full; a running request ends every few dozen
- * ms. */
-constexpr Milliseconds kRetryAfterFull(400);
-
 /** Time that requests wait for the first configuration and server list. A node
  * reads them within a few dozen ms of its start if the store answers. */
 constexpr Milliseconds kConfigWait(400);
@@ -127,27 +121,12 @@
       !this->CheckPlannedStop() || !this->CheckCrashes() || !this->Admit()) {
     return;
   }
-  if (!this->TryServer(false)) {
-    TrafficCore::Demand& demand = this->core.demand[this->service_name];
-    demand.refused += 1;
-    demand.tokens_in_period += this->request.facts.prompt_tokens;
-    this->RefuseWithoutServer();
-  }
-}
-
-void Exchange::RefuseWithoutServer() {
-  const TimePoint now = BootClock::now();
-  if (!this->core.pool.Candidates(this->service_name, {}, now).empty()) {
-    this->Refuse(503, kRetryAfterFull, "servers_full");
-    return;
-  }
-  const auto wait = this->core.pool.TimeUntilCandidate(this->service_name, now);
-  if (wait) {
-    this->Refuse(503, std::chrono::ceil<Milliseconds>(*wait),
-                 "servers_want_no_requests");
-    return;
+  this->MakeProfile();
+  this->core.admission->CountArrival(this->profile, this->arrived);
+  const bool others_wait = this->core.admission->HasWaiting(this->service_name);
+  if (others_wait || this->TryServer(false) != SendResult::kSent) {
+    this->WaitForServer(!others_wait);
   }
-  this->Refuse(503, kRetryAfterNoServer, "no_server");
 }
 
 bool Exchange::CheckRequest() {
@@ -276,18 +255,22 @@
   return candidates[choice->index];
 }
 
-bool Exchange::TryServer(bool uses_retry_budget) {
+Exchange::SendResult Exchange::TryServer(bool uses_retry_budget) {
   const std::shared_ptr<PooledServer> server = this->ChooseServer();
   if (!server) {
-    return false;
+    return SendResult::kNoServer;
   }
+  const TimePoint now = BootClock::now();
   if (uses_retry_budget &&
-      !this->core.budget.TakeRetry(this->service_name, this->core.nodes,
-                                   BootClock::now())) {
-    return false;
+      !this->core.budget.TakeRetry(this->service_name, this->core.nodes, now)) {
+    return SendResult::kNoBudget;
+  }
+  if (!this->counts_as_started) {
+    this->counts_as_started = true;
+    this->core.admission->CountStart(this->profile, now);
   }
   this->SendTo(server, std::nullopt);
-  return true;
+  return SendResult::kSent;
 }
 
 void Exchange::SendTo(const std::shared_ptr<PooledServer>& server,
@@ -370,6 +353,7 @@
     this->attempt->connection->Close();
   }
   this->attempt.reset();
+  this->core.ScheduleStart(this->service_name);
 }
 
 void Exchange::OnSending() {
@@ -470,14 +454,19 @@
   if (unreached && this->excluded_servers.size() >= kMaxUnreachableAttempts) {
     decision = serving::DecideAfterFailure(facts, false);
   }
+  bool no_server = false;
   if (decision == RetryDecision::kResend) {
     if (this->CancelIfClientGone()) {
       return;
     }
     std::optional<Attempt> failed = std::exchange(this->attempt, std::nullopt);
     const std::string body_of_failed = this->buffered;
-    const bool resent = !this->CrashesServers(now) &&
-                        this->TryServer(this->sends > 0 && !unreached);
+    const bool crashes = this->CrashesServers(now);
+    const SendResult result =
+        crashes ? SendResult::kNoBudget
+                : this->TryServer(this->sends > 0 && !unreached);
+    const bool resent = result == SendResult::kSent;
+    no_server = result == SendResult::kNoServer;
     std::optional<Attempt> next =
         std::exchange(this->attempt, std::move(failed));
     if (resent) {
@@ -496,11 +485,13 @@
       this->AbortClient(FailureName(failure));
       return;
     case RetryDecision::kAnswerNotRun:
-      if (paused) {
-        this->RefuseWithoutServer();
+      if (no_server) {
+        this->ReleaseAttempt();
+        this->DropBuffered();
+        this->WaitForServer(true);
         return;
       }
-      this->Refuse(503, kRetryAfterFull, FailureName(failure));
+      this->RefuseAfterAttempt(paused ? "servers_full" : FailureName(failure));
       return;
     case RetryDecision::kAnswerUnknown:
     case RetryDecision::kResend:
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "admission/admission_base.h"
 #include "exchange_base.h"
 #include "serving/crash_evidence_func.h"
 
@@ -85,11 +86,19 @@
       engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
       generator(std::random_device{}()),
-      demand_updated(BootClock::now()) {}
+      admission(
+          std::make_unique<admission::Admission>(admission::AdmissionOptions{},
+                                                 std::random_device{}())),
+      demand_updated(BootClock::now()) {
+  this->observers.push_back(this->admission.get());
+  this->shared_states.push_back(this->admission.get());
+}
 
 TrafficCore::~TrafficCore() {
   // Requests in progress use the other members when they end.
   this->waiting_for_config.clear();
+  this->admission->Clear();
+  this->waiting_for_server.clear();
   this->exchanges.clear();
 }
 
@@ -124,6 +133,7 @@
   this->pool.Update(*next, now);
   this->RequestStopNotices(now);
   this->StartWaitingRequests();
+  this->CheckWaiting(now);
 }
 
 void TrafficCore::RequestStopNotices(TimePoint now) {
@@ -238,6 +248,7 @@
   if (any_leaves) {
     this->RequestStopNotices(BootClock::now());
   }
+  this->CheckWaiting(BootClock::now());
   if (!this->config) {
     return;
   }
@@ -313,6 +324,7 @@
           kDemandWeight * (rate - seen.prefill_per_second);
       seen.tokens_in_period = 0;
     }
+    this->admission->SetRunning(service, seen.running);
     report.demand[serving::HashName(service)] = serving::ServiceDemand{
         seen.running, static_cast<uint32_t>(seen.prefill_per_second),
         seen.refused};
@@ -354,6 +366,9 @@
     exchange->CheckTime(now);
   }
   this->pool.CheckTime(now);
+  this->admission->CheckTime(now);
+  this->CheckWaiting(now);
+  this->ReportAdmission(now);
   this->CheckLeavingServers(now);
   this->CountCrashes(now);
   if (now >= this->next_crash_evaluation) {
