--- a/packages/relay/src/exchange_guard.cc
+++ b/packages/relay/src/exchange_guard.cc
@@ -65,10 +65,14 @@
 }
 
 void Exchange::CheckTime(TimePoint now) {
-  if (this->done || !this->attempt) {
+  if (this->done) {
     return;
   }
-  this->Protect("request_time", [&] { this->CheckTimes(now); });
+  if (this->waiting_id) {
+    this->Protect("request_time", [&] { this->CheckWaitingTime(now); });
+  } else if (this->attempt) {
+    this->Protect("request_time", [&] { this->CheckTimes(now); });
+  }
 }
 
 void Exchange::OnClientDisconnected() {
