Bound what nodes exchange in large deployments

Cause: with 100 nodes and 1,000 servers, each node that watches the store sent a complete message to all nodes with the next tick after each change of a server, and copied the whole list for the traffic loop without a bound. All nodes fetched uncompressed lists from the same few nodes. One copy of each message crossed between regions for each pair of nodes.

Change: lists, summaries and reports pass between the loops through slots for one value, and a large list is published at most once per tick. Fetch responses are compressed and limited by a budget; refused nodes ask another source, and the newest sixteenth of the nodes are sources. As many changes as servers are kept. Above 150 nodes, or a product of nodes and servers of 20,000, messages to other regions are forwarded by a node of that region that a rendezvous hash selects for each message, messages to other zones and regions are partial in every second period, and only departures and configurations are sent before the next period. When more than 150 nodes start, 16 read the lists of the store first. Below these sizes messages are unchanged.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -104,6 +104,8 @@
 struct FetchEnded {
   std::string ip;
   bool fetched = true;
+  /** The other node answers too many fetches; another one may be asked now. */
+  bool refused = false;
 };
 
 /** A result of a call for the duty lease. */
@@ -195,6 +197,7 @@
 struct SendToPeers {
   std::vector<std::string> ips;
   serving::PeerMessage message;
+  bool compressed = false;  ///< All receivers understand compressed messages.
 };
 
 /** Fetch newer state from another node. Completes with FetchEnded. */
@@ -370,12 +373,25 @@
   std::optional<TimePoint> enough_followers_since;
   std::optional<TimePoint> store_regained;
   TimePoint next_fetch;
+  TimePoint last_fetch;
+  uint64_t fetches = 0;         ///< Started; varies the choice of the source.
+  TimePoint servers_published;  ///< When the list was last published.
+  /** The list has changed since; it is published with the next tick. */
+  bool servers_unpublished = false;
   /** Since when other nodes have had newer state. */
   std::optional<TimePoint> behind_since;
   serving::TrafficReport report;
   uint64_t sequence = 0;
   TimePoint started;  ///< Time of the first event.
   TimePoint next_message;
+  TimePoint last_message;
+  uint64_t message_rounds = 0;  ///< Number of periodic messages.
+  /** A departure or a configuration is to be announced before the next periodic
+   * message. */
+  bool urgent_pending = false;
+  TimePoint next_urgent;  ///< Earliest time of the next such message.
+  uint32_t forwards = 0;  ///< Messages forwarded in the current second.
+  TimePoint forwards_counted_since;
   /** Estimated time of day minus the boot clock. */
   std::optional<int64_t> wall_offset_ms;
   /** Since when this estimate has been passed on from process to process. */
--- a/packages/fleet/include/fleet/peer_table_base.h
+++ b/packages/fleet/include/fleet/peer_table_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -67,6 +68,8 @@
   std::map<serving::NameHash, RemoteQuotaUse> quota_use;  ///< By customer.
   /** Last time that fetching state from it failed. */
   std::optional<TimePoint> fetch_failed;
+  /** It forwards messages and understands compressed ones. */
+  bool forwards = false;
   /** Incarnations of earlier processes at this address. */
   std::deque<uint64_t> former_incarnations;
 };
@@ -87,6 +90,9 @@
  * the deployment, whose processes start within a second of each other. */
 inline constexpr std::chrono::seconds kSameStartTolerance(2);
 
+/** Flags of the message's kForwarding extension; empty if it has none. */
+std::optional<uint8_t> ForwardingFlags(const serving::PeerMessage& message);
+
 /** Table of all other nodes. Not thread-safe. */
 class PeerTable {
  public:
@@ -162,6 +168,11 @@
     return this->peers;
   }
 
+  /** Number of nodes that are known or announced; at least that of All(). */
+  size_t KnownAddresses() const {
+    return std::max(this->peers.size(), this->seeds.size());
+  }
+
  private:
   void AddAdmitted(const serving::PeerMessage& message,
                    PeerEntry* known,
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -10,6 +10,8 @@
 #include <set>
 
 #include "duty_cmd.h"
+#include "fetch_cmd.h"
+#include "forward_cmd.h"
 #include "scaling_cmd.h"
 #include "spread_cmd.h"
 #include "time_of_day_cmd.h"
@@ -19,9 +21,17 @@
 
 using std::chrono::milliseconds;
 
-/** Number of server changes kept for nodes that are behind. */
+/** Smallest number of server changes kept for nodes that are behind. With more
+ * servers, as many changes as servers are kept: while servers register, nodes
+ * that are a second behind would otherwise need complete lists, and a node that
+ * has read a complete list can only pass on complete lists. */
 constexpr size_t kKeptChanges = 256;
 
+/** A list of more servers than this is published at most once per tick. A copy
+ * takes 0.3 kB per server, and thousands of servers that register within
+ * seconds would fill the memory of a node whose data plane is busy. */
+constexpr size_t kMaxServersPublishedAtOnce = 256;
+
 /** Live servers whose entries lapsed during a store outage register again
  * within two seconds after it. */
 constexpr milliseconds kServerReturnTime(1900);
@@ -51,9 +61,25 @@
     set->servers.push_back(server);
   }
   state.servers_known = true;
+  state.servers_unpublished = false;
+  state.servers_published = now;
   effects.emplace_back(PublishServers{std::move(set)});
 }
 
+/** Publishes a changed list, with the next tick if it is large and was
+ * published less than a tick ago. */
+void PublishChangedList(FleetState& state,
+                        TimePoint now,
+                        std::vector<Effect>& effects) {
+  if (state.servers_known &&
+      state.servers.size() > kMaxServersPublishedAtOnce &&
+      now - state.servers_published < kTickPeriod) {
+    state.servers_unpublished = true;
+    return;
+  }
+  PublishServerList(state, now, effects);
+}
+
 void ApplyConfig(FleetState& state,
                  const ConfigRead& read,
                  std::vector<Effect>& effects) {
@@ -150,7 +176,7 @@
                                    message.status.servers_revision});
   }
   if (changed) {
-    PublishServerList(state, now, effects);
+    PublishChangedList(state, now, effects);
   }
 }
 
@@ -186,7 +212,8 @@
 
 void KeepChange(FleetState& state, const ServerChanged& change) {
   state.changes.push_back(change);
-  if (state.changes.size() > kKeptChanges) {
+  const size_t bound = std::max(kKeptChanges, state.servers.size());
+  while (state.changes.size() > bound) {
     state.changes_base = state.changes.front().revision;
     state.changes.pop_front();
   }
@@ -212,7 +239,7 @@
     }
   }
   state.servers_revision = patch.revision;
-  PublishServerList(state, now, effects);
+  PublishChangedList(state, now, effects);
 }
 
 void ApplyServerChange(FleetState& state,
@@ -229,7 +256,7 @@
   } else {
     RemoveServer(state, change.id, now, effects);
   }
-  PublishServerList(state, now, effects);
+  PublishChangedList(state, now, effects);
 }
 
 void RemoveLapsedServers(FleetState& state,
@@ -364,85 +391,84 @@
     state.started = now;
     state.peers.SetStarted(now);
   }
-  std::visit(Overloaded{
-                 [&](const ConfigRead& read) {
-                   ApplyConfig(state, read, effects);
-                   ScheduleMessageNow(state, now);
-                 },
-                 [&](const ServersRead& read) {
-                   ApplyServerList(state, read, now, effects);
-                 },
-                 [&](const ServerChanged& change) {
-                   ApplyServerChange(state, change, now, effects);
-                   ScheduleMessageNow(state, now);
-                 },
-                 [&](const ServersPatched& patch) {
-                   ApplyServersPatch(state, patch, now, effects);
-                 },
-                 [&](const StoreReachable& store) {
-                   ApplyStoreState(state, store.reachable, now, effects);
-                 },
-                 [&](const PeerMessageReceived& received) {
-                   const auto kind = state.peers.Receive(received.message, now);
-                   if (kind == PeerTable::ReceiveResult::kNewProcess) {
-                     // Lets the new process learn of this node and others
-                     // sooner.
-                     state.next_message = now;
-                     state.next_message_to_all = true;
-                   }
-                   if (kind != PeerTable::ReceiveResult::kDiscarded) {
-                     ApplyDepartures(state, received.message, now, effects);
-                     state.usage.Merge(received.message.status.ip,
-                                       received.message.status.incarnation,
-                                       received.message.report.usage);
-                     FetchNewerState(state, now, effects);
-                   }
-                 },
-                 [&](const TrafficReported& traffic) {
-                   state.report = traffic.report;
-                   state.usage.Merge(state.settings.ip,
-                                     state.settings.incarnation,
-                                     traffic.report.usage);
-                 },
-                 [&](const FetchEnded& fetch) {
-                   state.fetching = false;
-                   if (!fetch.fetched) {
-                     state.peers.RecordFetchFailure(fetch.ip, now);
-                   }
-                 },
-                 [&](const LeaseEvent& result) {
-                   ReduceLease(state, result.event, now, effects);
-                 },
-                 [&](const UsageFixed& fixed) {
-                   ApplyUsageFixed(state, fixed, now, effects);
-                 },
-                 [&](const UsageSent& sent) {
-                   ApplyUsageSent(state, sent, now, effects);
-                 },
-                 [&](const ServersOrdered& answer) {
-                   ApplyOrderAnswer(state, answer, now, effects);
-                 },
-                 [&](const ProgressRead& read) {
-                   ApplySavedProgress(state, read, now, effects);
-                 },
-                 [&](const StopRequested&) {
-                   if (!state.leaving) {
-                     state.leaving_since = now;
-                   }
-                   state.leaving = true;
-                   state.next_message = now;
-                   SendMessage(state, now, effects);
-                 },
-                 [&](const Tick& tick) {
-                   FollowClock(state, tick.clock_wall_ms, now, effects);
-                   RemoveLapsedServers(state, now, effects);
-                   UpdateStoreFollowing(state, now, effects);
-                   FetchNewerState(state, now, effects);
-                   SendMessage(state, now, effects);
-                   AdvanceDuties(state, now, effects);
-                 },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](const ConfigRead& read) {
+            const uint64_t known = state.config_revision;
+            ApplyConfig(state, read, effects);
+            ScheduleMessageNow(state, state.config_revision > known, now);
+          },
+          [&](const ServersRead& read) {
+            ApplyServerList(state, read, now, effects);
+          },
+          [&](const ServerChanged& change) {
+            const bool is_departure = !change.server || change.server->draining;
+            ApplyServerChange(state, change, now, effects);
+            ScheduleMessageNow(state, is_departure, now);
+          },
+          [&](const ServersPatched& patch) {
+            ApplyServersPatch(state, patch, now, effects);
+          },
+          [&](const StoreReachable& store) {
+            ApplyStoreState(state, store.reachable, now, effects);
+          },
+          [&](const PeerMessageReceived& received) {
+            const auto kind = state.peers.Receive(received.message, now);
+            if (kind == PeerTable::ReceiveResult::kNewProcess) {
+              ScheduleMessageToNewProcess(state, now);
+            }
+            if (kind != PeerTable::ReceiveResult::kDiscarded) {
+              ForwardMessage(state, received.message, now, effects);
+              ApplyDepartures(state, received.message, now, effects);
+              state.usage.Merge(received.message.status.ip,
+                                received.message.status.incarnation,
+                                received.message.report.usage);
+              FetchNewerState(state, now, effects);
+            }
+          },
+          [&](const TrafficReported& traffic) {
+            state.report = traffic.report;
+            state.usage.Merge(state.settings.ip, state.settings.incarnation,
+                              traffic.report.usage);
+          },
+          [&](const FetchEnded& fetch) { EndFetch(state, fetch, now); },
+          [&](const LeaseEvent& result) {
+            ReduceLease(state, result.event, now, effects);
+          },
+          [&](const UsageFixed& fixed) {
+            ApplyUsageFixed(state, fixed, now, effects);
+          },
+          [&](const UsageSent& sent) {
+            ApplyUsageSent(state, sent, now, effects);
+          },
+          [&](const ServersOrdered& answer) {
+            ApplyOrderAnswer(state, answer, now, effects);
+          },
+          [&](const ProgressRead& read) {
+            ApplySavedProgress(state, read, now, effects);
+          },
+          [&](const StopRequested&) {
+            if (!state.leaving) {
+              state.leaving_since = now;
+            }
+            state.leaving = true;
+            state.next_message = now;
+            SendMessage(state, now, effects);
+          },
+          [&](const Tick& tick) {
+            FollowClock(state, tick.clock_wall_ms, now, effects);
+            RemoveLapsedServers(state, now, effects);
+            if (state.servers_unpublished) {
+              PublishServerList(state, now, effects);
+            }
+            UpdateStoreFollowing(state, now, effects);
+            FetchNewerState(state, now, effects);
+            SendMessage(state, now, effects);
+            SendUrgentMessage(state, now, effects);
+            AdvanceDuties(state, now, effects);
+          },
+      },
+      event);
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -59,6 +59,17 @@
   return now - last_message_at > kSilentPeriods * period;
 }
 
+std::optional<uint8_t> ForwardingFlags(const serving::PeerMessage& message) {
+  constexpr auto kKind =
+      static_cast<uint16_t>(serving::ExtensionKind::kForwarding);
+  for (const serving::PeerExtension& extension : message.report.extensions) {
+    if (extension.kind == kKind && extension.payload.size() == 1) {
+      return static_cast<uint8_t>(extension.payload.front());
+    }
+  }
+  return std::nullopt;
+}
+
 void UsageLedger::Merge(std::string_view node,
                         uint64_t incarnation,
                         const std::map<int64_t, serving::UsageCounts>& update) {
@@ -160,12 +171,19 @@
     }
   }
   entry.status = status;
-  entry.report = message.report;
-  entry.report.prefixes.clear();
-  if (entry.report.suspects) {
-    *entry.report.suspects = {};
+  const std::optional<uint8_t> flags = ForwardingFlags(message);
+  entry.forwards = flags.has_value();
+  if (same_process && flags && (*flags & serving::kPartial) != 0) {
+    entry.report.admitted = message.report.admitted;
+    entry.report.leaving = message.report.leaving;
+  } else {
+    entry.report = message.report;
+    entry.report.prefixes.clear();
+    if (entry.report.suspects) {
+      *entry.report.suspects = {};
+    }
+    serving::SetTimes(entry.report.crash_evidence, now);
   }
-  serving::SetTimes(entry.report.crash_evidence, now);
   if (!same_process || now - entry.last_message_at > this->silent_after) {
     entry.heard_since = now;
   }
@@ -239,7 +257,12 @@
 
 void PeerTable::AddExtensions(const serving::PeerMessage& message,
                               TimePoint now) {
+  constexpr auto kForwarding =
+      static_cast<uint16_t>(serving::ExtensionKind::kForwarding);
   for (const serving::PeerExtension& extension : message.report.extensions) {
+    if (extension.kind == kForwarding) {
+      continue;  // For this table only.
+    }
     const size_t bytes = extension.payload.size();
     if (this->extension_bytes + bytes > kMaxPendingExtensionBytes) {
       return;
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -10,6 +10,7 @@
 
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
+#include "forward_cmd.h"
 #include "serving/crash_evidence_func.h"
 #include "serving/crash_suspects_base.h"
 
@@ -29,24 +30,17 @@
  * missing. */
 constexpr milliseconds kInformedAfter(2000);
 
-/** Time after a failed fetch during which the same node is not asked again. */
-constexpr std::chrono::seconds kFailedFetchDelay(2);
-
 /** Largest number of addresses in a datagram, so that it fits into one packet.
  */
 constexpr size_t kMaxKnownIps = 16;
 
-/** Delay before a node that watches the store fetches newer state from another
- * node: usually its own watch delivers the state in the meantime. */
-constexpr milliseconds kFetchDelay(250);
-
-/** Number of nodes that watch the store for changes; the others learn changes
- * from them. Each change costs each watcher one store call. */
-constexpr size_t kStoreFollowers = 3;
+/** The same in a large deployment, where hundreds of messages arrive within the
+ * time in which a node should be discovered. */
+constexpr size_t kMaxKnownIpsOfLarge = 4;
 
-/** A node stops watching the store once kStoreFollowers others have watched it
- * for this long. */
-constexpr std::chrono::seconds kFollowerSettleTime(1);
+/** Largest number of prefixes for a node of another zone of a large deployment.
+ */
+constexpr size_t kMaxPrefixesForOtherZone = 16;
 
 /** Number of message periods for which each prefix is repeated, because
  * datagrams get lost. */
@@ -60,6 +54,21 @@
  */
 constexpr size_t kMaxDepartures = 64;
 
+/** The same in a large deployment, where a zone that is lost has hundreds of
+ * servers. */
+constexpr size_t kMaxDeparturesOfLarge = 256;
+
+/** In a large deployment, nodes of other zones get a complete message in one of
+ * this many periods, and a partial one in the others. */
+constexpr uint64_t kPeriodsPerComplete = 2;
+
+/** Shortest interval between urgent messages of a large deployment, and the
+ * number of nodes of a region that forward each. Two, because one of them may
+ * have failed unnoticed; together with the watch of the store, changes are in
+ * force everywhere within a second. */
+constexpr milliseconds kUrgentPeriod(250);
+constexpr size_t kUrgentCopies = 2;
+
 /** Largest number of prefixes in a datagram, so that it fits into one packet.
  */
 constexpr size_t kMaxPrefixes = 48;
@@ -68,9 +77,6 @@
  * that the others know; several message periods to other regions. */
 constexpr std::chrono::seconds kNewcomerTime(10);
 
-/** Shortest interval between fetches. */
-constexpr milliseconds kFetchPeriod(400);
-
 /** With at least this many ready nodes in its region, a client gets only their
  * addresses. */
 constexpr size_t kEnoughNodesInRegion = 2;
@@ -121,10 +127,13 @@
   }
   message.report.crash_evidence = state.report.crash_evidence;
   serving::SetAges(message.report.crash_evidence, now);
-  message.known_ips = state.peers.RecentIps(kMaxKnownIps, now);
+  message.known_ips = state.peers.RecentIps(
+      IsLarge(state) ? kMaxKnownIpsOfLarge : kMaxKnownIps, now);
+  const size_t max_departures =
+      IsLarge(state) ? kMaxDeparturesOfLarge : kMaxDepartures;
   while (!state.departures.empty() &&
          (now - state.departures.front().seen > kDepartureAnnounceTime ||
-          state.departures.size() > kMaxDepartures)) {
+          state.departures.size() > max_departures)) {
     state.departures.pop_front();
   }
   for (const Departure& departure : state.departures) {
@@ -174,40 +183,137 @@
          now - known->second.heard_since < kNewcomerTime;
 }
 
-/** Whether a node has newer state and a fetch from it will probably succeed. */
-bool IsFetchSource(const FleetState& state,
-                   const PeerEntry& entry,
-                   TimePoint now) {
-  const bool newer = entry.status.config_revision > state.config_revision ||
-                     entry.status.servers_revision > state.servers_revision;
-  const bool failed =
-      entry.fetch_failed && now - *entry.fetch_failed < kFailedFetchDelay;
-  return newer && !failed &&
-         !IsSilent(entry.last_message_at, MessagePeriod(state), now);
+/** Nodes that get the same message. */
+struct TargetGroup {
+  bool forward = false;  ///< Forwards it to the other nodes of its region.
+  bool same_region = false;
+  bool has_duties = false;  ///< Holds or may take over the duty lease.
+  bool newcomer = false;
+  bool unheard = false;       ///< Only its address is known.
+  bool every_period = false;  ///< Gets a complete message in each period.
+  bool partial = false;
+  bool compressed = false;
+
+  auto operator<=>(const TargetGroup& other) const {
+    // Those that forward come first; see SendMessage().
+    return std::tuple(!this->forward, this->same_region, this->has_duties,
+                      this->newcomer, this->unheard, this->every_period,
+                      this->partial, this->compressed) <=>
+           std::tuple(!other.forward, other.same_region, other.has_duties,
+                      other.newcomer, other.unheard, other.every_period,
+                      other.partial, other.compressed);
+  }
+};
+
+/** The group of a node that gets its message directly. */
+TargetGroup GroupOf(const FleetState& state,
+                    const std::string& ip,
+                    const std::set<std::string>& duty_nodes,
+                    TimePoint now) {
+  const auto known = state.peers.All().find(ip);
+  const bool is_known = known != state.peers.All().end();
+  TargetGroup group;
+  group.same_region =
+      !is_known || known->second.status.region == state.settings.region;
+  group.has_duties = duty_nodes.contains(ip);
+  group.newcomer = IsNewcomer(state, ip, now);
+  group.unheard = !is_known;
+  group.every_period = group.same_region;
+  if (!IsLarge(state) || !is_known || !known->second.forwards) {
+    return group;
+  }
+  group.compressed = true;
+  group.every_period =
+      group.same_region && known->second.status.zone == state.settings.zone;
+  group.partial = group.same_region && !group.every_period &&
+                  !group.has_duties &&
+                  state.message_rounds % kPeriodsPerComplete != 0;
+  return group;
 }
 
-/**
- * Selects the node to fetch from: one with the newest state, preferably in the
- * same region. Ties are broken by a hash that differs between nodes, so that
- * they do not all ask the same one.
- */
-const PeerEntry* FindFetchSource(const FleetState& state, TimePoint now) {
-  const PeerEntry* best = nullptr;
-  const auto rank = [&](const PeerEntry& entry) {
-    return std::tuple(entry.status.config_revision,
-                      entry.status.servers_revision,
-                      entry.status.region == state.settings.region,
-                      serving::HashName(entry.status.ip + state.settings.ip));
-  };
-  for (const auto& [ip, entry] : state.peers.All()) {
-    if (!IsFetchSource(state, entry, now)) {
-      continue;
+/** The nodes that the periodic message is sent to. */
+std::map<TargetGroup, std::vector<std::string>>
+GroupTargets(const FleetState& state, bool to_all_regions, TimePoint now) {
+  std::map<TargetGroup, std::vector<std::string>> groups;
+  std::map<std::string, std::vector<std::string>> forwarders;
+  if (IsLarge(state)) {
+    forwarders = SelectForwarders(state, 1, now);
+  }
+  const std::set<std::string> duty_nodes = DutyHoldersAndCandidates(state, now);
+  std::map<std::string, bool> regions_with_newcomers;
+  for (const std::string& ip : state.peers.Targets()) {
+    const TargetGroup group = GroupOf(state, ip, duty_nodes, now);
+    const auto known = state.peers.All().find(ip);
+    const bool is_forwarded_to =
+        !group.same_region && group.compressed &&
+        forwarders.contains(known->second.status.region);
+    if (is_forwarded_to) {
+      regions_with_newcomers[known->second.status.region] |= group.newcomer;
     }
-    if (best == nullptr || rank(entry) > rank(*best)) {
-      best = &entry;
+    const bool is_due = group.same_region || to_all_regions;
+    if (is_due && (!is_forwarded_to || group.has_duties)) {
+      groups[group].push_back(ip);
     }
   }
-  return best;
+  for (const auto& [region, newcomer] : regions_with_newcomers) {
+    TargetGroup group;
+    group.forward = true;
+    group.newcomer = newcomer;
+    // With a message in each period, a node counts as silent only after several
+    // losses in a row; units admitted by a silent node may not be counted.
+    group.partial = !to_all_regions;
+    group.compressed = true;
+    auto& ips = groups[group];
+    ips.insert(ips.end(), forwarders[region].begin(), forwarders[region].end());
+  }
+  return groups;
+}
+
+/** Adds what a group of nodes gets to the message for all. */
+void FillReport(const FleetState& state,
+                const TargetGroup& group,
+                TimePoint now,
+                serving::PeerMessage& message) {
+  const bool is_large = IsLarge(state);
+  const auto flags =
+      static_cast<uint8_t>((group.forward ? serving::kForward : 0) |
+                           (group.partial ? serving::kPartial : 0));
+  if (group.partial) {
+    MakePartial(message);
+  }
+  if (group.partial || (is_large && group.unheard)) {
+    // Hundreds of nodes that start together are unheard at first, also those of
+    // other regions.
+    SetForwardingFlags(message, flags);
+    return;
+  }
+  const auto since = std::chrono::duration_cast<Duration>(kPrefixRepeats *
+                                                          MessagePeriod(state));
+  message.report.prefixes =
+      RecentPrefixes(state, now - (group.every_period ? since : 2 * since));
+  if (is_large && !group.every_period) {
+    const size_t bound = group.same_region ? kMaxPrefixesForOtherZone : 0;
+    message.report.prefixes.resize(
+        std::min(message.report.prefixes.size(), bound));
+  }
+  if (state.report.suspects) {
+    message.report.suspects = serving::SelectForMessage(
+        *state.report.suspects,
+        is_large ? state.message_rounds : state.sequence, group.newcomer, now);
+    serving::SetAges(*message.report.suspects, now);
+  }
+  if (group.same_region) {
+    message.report.loads = state.report.loads;
+  }
+  message.report.extensions = ExtensionsFor(
+      state.report.extensions, group.same_region, group.has_duties);
+  if (is_large) {
+    SetForwardingFlags(message, flags);
+  }
+  if (group.has_duties) {
+    message.report.usage = state.report.usage;
+    message.report.demand = state.report.demand;
+  }
 }
 
 }  // namespace
@@ -307,49 +413,24 @@
     return;
   }
   state.next_message = now + MessagePeriod(state);
+  state.last_message = now;
+  state.message_rounds += 1;
   state.peers.Expire(now);
   const bool to_all_regions = state.next_message_to_all || state.leaving;
   state.next_message_to_all = !state.next_message_to_all;
   const serving::PeerMessage base = MakeMessage(state, now);
-  struct Group {
-    bool same_region = false;
-    bool has_duties = false;  ///< Holds or may take over the duty lease.
-    bool newcomer = false;
-
-    auto operator<=>(const Group&) const = default;
-  };
-  std::map<Group, std::vector<std::string>> groups;
-  const std::set<std::string> duty_nodes = DutyHoldersAndCandidates(state, now);
-  for (const std::string& ip : state.peers.Targets()) {
-    const auto known = state.peers.All().find(ip);
-    const bool same_region =
-        known == state.peers.All().end() ||
-        known->second.status.region == state.settings.region;
-    if (same_region || to_all_regions) {
-      groups[{same_region, duty_nodes.contains(ip), IsNewcomer(state, ip, now)}]
-          .push_back(ip);
-    }
+  const bool is_large = IsLarge(state);
+  if (is_large) {
+    // Nodes that get a message both directly and forwarded accept the direct
+    // one after the other, because it may contain more.
+    state.sequence += 1;
   }
-  for (auto& [group, ips] : groups) {
-    SendToPeers send{std::move(ips), base};
-    const auto since = std::chrono::duration_cast<Duration>(
-        kPrefixRepeats * MessagePeriod(state));
-    send.message.report.prefixes =
-        RecentPrefixes(state, now - (group.same_region ? since : 2 * since));
-    if (state.report.suspects) {
-      send.message.report.suspects = serving::SelectForMessage(
-          *state.report.suspects, state.sequence, group.newcomer, now);
-      serving::SetAges(*send.message.report.suspects, now);
-    }
-    if (group.same_region) {
-      send.message.report.loads = state.report.loads;
-    }
-    send.message.report.extensions = ExtensionsFor(
-        state.report.extensions, group.same_region, group.has_duties);
-    if (group.has_duties) {
-      send.message.report.usage = state.report.usage;
-      send.message.report.demand = state.report.demand;
+  for (auto& [group, ips] : GroupTargets(state, to_all_regions, now)) {
+    SendToPeers send{std::move(ips), base, group.compressed};
+    if (is_large && !group.forward) {
+      send.message.status.sequence = state.sequence;
     }
+    FillReport(state, group, now, send.message);
     effects.emplace_back(std::move(send));
   }
   serving::PeerSummary summary =
@@ -361,71 +442,44 @@
   effects.emplace_back(PublishPeers{std::move(summary)});
 }
 
-void ScheduleMessageNow(FleetState& state, TimePoint now) {
-  if (state.following) {
-    state.next_message = now;
-    state.next_message_to_all = true;
-  }
-}
-
-void UpdateStoreFollowing(FleetState& state,
-                          TimePoint now,
-                          std::vector<Effect>& effects) {
-  const uint32_t own_rank = serving::HashName(state.settings.ip);
-  size_t lower_ranked = 0;
-  bool other_is_eager = false;
-  for (const auto& [ip, entry] : state.peers.All()) {
-    const bool follows =
-        entry.status.follows_store && !entry.status.leaving &&
-        !IsSilent(entry.last_message_at, MessagePeriod(state), now);
-    lower_ranked += follows && serving::HashName(ip) < own_rank ? 1 : 0;
-    other_is_eager |= follows && entry.status.holds_duties;
-  }
-  if (lower_ranked < kStoreFollowers) {
-    state.enough_followers_since.reset();
-  } else if (!state.enough_followers_since) {
-    state.enough_followers_since = now;
-  }
-  const bool settled =
-      state.enough_followers_since &&
-      now - *state.enough_followers_since >= kFollowerSettleTime;
-  // The duty holder watches the store so that it replaces lost servers sooner.
-  const bool follow = !settled || !state.config || !state.servers_known ||
-                      HoldsDuties(state, now);
-  const bool eager = HoldsDuties(state, now) || !other_is_eager;
-  if (follow == state.following && eager == state.eager) {
+void ScheduleMessageNow(FleetState& state, bool urgent, TimePoint now) {
+  if (!state.following) {
     return;
   }
-  if (follow != state.following) {
-    effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
-                                   state.servers_revision});
+  if (IsLarge(state)) {
+    state.urgent_pending |= urgent;
+    return;
   }
-  state.following = follow;
-  state.eager = eager;
-  effects.emplace_back(FollowStore{follow, eager});
+  state.next_message = now;
+  state.next_message_to_all = true;
 }
 
-void FetchNewerState(FleetState& state,
-                     TimePoint now,
-                     std::vector<Effect>& effects) {
-  const PeerEntry* source = FindFetchSource(state, now);
-  if (source == nullptr) {
-    state.behind_since.reset();
+void SendUrgentMessage(FleetState& state,
+                       TimePoint now,
+                       std::vector<Effect>& effects) {
+  if (!state.urgent_pending || now < state.next_urgent) {
     return;
   }
-  if (!state.behind_since) {
-    state.behind_since = now;
+  state.urgent_pending = false;
+  state.next_urgent = now + kUrgentPeriod;
+  SendToPeers send{{}, MakeMessage(state, now), true};
+  MakePartial(send.message);
+  SetForwardingFlags(send.message, serving::kForward | serving::kPartial);
+  const auto forwarders = SelectForwarders(state, kUrgentCopies, now);
+  for (const auto& [region, ips] : forwarders) {
+    send.ips.insert(send.ips.end(), ips.begin(), ips.end());
   }
-  const bool due = !state.following ||
-                   now - *state.behind_since >= kFetchDelay ||
-                   !state.servers_known || !state.config;
-  if (!due || state.fetching || now < state.next_fetch) {
-    return;
+  if (!send.ips.empty()) {
+    effects.emplace_back(std::move(send));
+  }
+  // Nodes of earlier versions, and those that are silent, learn it from a
+  // complete message.
+  const bool all_forward = std::ranges::all_of(
+      state.peers.All(), [](const auto& peer) { return peer.second.forwards; });
+  if (!all_forward || forwarders.empty()) {
+    state.next_message = now;
+    state.next_message_to_all = true;
   }
-  state.fetching = true;
-  state.next_fetch = now + kFetchPeriod;
-  effects.emplace_back(FetchState{source->status.ip, state.config_revision,
-                                  state.servers_revision});
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/spread_cmd.h
+++ b/packages/fleet/src/spread_cmd.h
@@ -31,9 +31,20 @@
 std::map<serving::NameHash, double> PrefillSpeeds(const FleetState& state,
                                                   TimePoint now);
 
-/** Makes the next message due now and send it to all regions, if this node
- * watches the store. Used to pass on changes from the store without delay. */
-void ScheduleMessageNow(FleetState& state, TimePoint now);
+/**
+ * Makes the next message due now and send it to all regions, if this node
+ * watches the store. Used to pass on changes from the store without delay.
+ * @param urgent Whether the change is one that other nodes need at once: a
+ *     departure or a configuration. In a large deployment, other changes wait
+ *     for the next periodic message.
+ */
+void ScheduleMessageNow(FleetState& state, bool urgent, TimePoint now);
+
+/** In a large deployment, announces departures and a new configuration before
+ * the next periodic message. */
+void SendUrgentMessage(FleetState& state,
+                       TimePoint now,
+                       std::vector<Effect>& effects);
 
 /**
  * Decides whether this node watches the store. The nodes whose addresses have
@@ -44,10 +55,4 @@
                           TimePoint now,
                           std::vector<Effect>& effects);
 
-/** Fetches newer state from another node if this node does not watch the store
- * or its watch is late. */
-void FetchNewerState(FleetState& state,
-                     TimePoint now,
-                     std::vector<Effect>& effects);
-
 }  // namespace boragewharf::fleet
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -17,6 +17,7 @@
 
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
+#include "fleet/fetch_budget_base.h"
 #include "fleet/fleet_cmd.h"
 #include "fleet/platform_base.h"
 #include "httpio/http_channel_base.h"
@@ -47,6 +48,7 @@
   uint32_t status = 200;
   std::string content_type;
   std::string body;
+  std::string content_encoding = {};
 };
 
 /** Responds to each request immediately with the result of a function. */
@@ -92,6 +94,7 @@
   EndpointResponse HandleReady(const httpio::InboundRequest& request);
   EndpointResponse HandleDirectory(const httpio::InboundRequest& request);
   EndpointResponse HandleControl(const httpio::InboundRequest& request);
+  EndpointResponse AnswerFetch(const httpio::InboundRequest& request);
   EndpointResponse HandleMetrics(const httpio::InboundRequest& request);
   std::string DumpState() const;
   void Listen(
@@ -122,6 +125,17 @@
   std::vector<std::unique_ptr<HttpEndpoint>> http_endpoints;
   std::map<std::string, std::unique_ptr<httpio::HttpChannel>>
       fetch_channels;  ///< By IP.
+  fleet::FetchBudget fetch_budget;
+  /** Of HandleControl(); null if there is none. */
+  httpio::HttpListener* control_listener = nullptr;
+  /** The last complete compressed list, which many nodes ask for when they
+   * start. */
+  struct {
+    uint64_t config_revision = 0;
+    uint64_t servers_revision = 0;
+    bool with_config = false;
+    std::string body;
+  } cached_list;
 };
 
 }  // namespace boragewharf::node
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "node/control_loop_base.h"
+#include "node/latest_slot_base.h"
 #include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 #include "relay/traffic_core_base.h"
@@ -64,6 +65,11 @@
   void TickTraffic();
   void CheckSettingsFile();
 
+  /** Values for the traffic loop and the control loop that they have not taken
+   * yet. A loop that is late takes the newest, so that no queue grows. */
+  LatestSlot<std::shared_ptr<const serving::ServerSet>> pending_servers;
+  LatestSlot<serving::PeerSummary> pending_peers;
+  LatestSlot<serving::TrafficReport> pending_report;
   NodeSettings settings;
   std::string settings_path;
   CounterRegistry counters;
--- a/packages/node/include/node/peer_codec.h
+++ b/packages/node/include/node/peer_codec.h
@@ -38,16 +38,31 @@
 /** Compresses text with zlib; empty on failure. Thread-safe. */
 std::string Compress(std::string_view text);
 
-/** Reverses Compress(); empty if the input is corrupt or the text too large.
- * Thread-safe. */
-std::optional<std::string> Decompress(std::string_view compressed);
+/** Largest size of a configuration text or state; values in the store are
+ * smaller. */
+inline constexpr size_t kMaxTextBytes = size_t{16} * 1024 * 1024;
 
-/** Encodes a peer message as a datagram. Thread-safe. */
-std::string EncodePeerMessage(const serving::PeerMessage& message);
+/** Reverses Compress(); empty if the input is corrupt or the text exceeds
+ * @p max_bytes by more than 64 KiB. Thread-safe. */
+std::optional<std::string> Decompress(std::string_view compressed,
+                                      size_t max_bytes = kMaxTextBytes);
+
+/**
+ * Encodes a peer message as a datagram.
+ * @param compressed Whether to compress it, for receivers that send
+ *     ExtensionKind::kForwarding.
+ * @note Thread-safe.
+ */
+std::string EncodePeerMessage(const serving::PeerMessage& message,
+                              bool compressed = false);
 
 /** Decodes a peer message; empty if the input is invalid. Thread-safe. */
 std::optional<serving::PeerMessage> DecodePeerMessage(std::string_view bytes);
 
+/** Whether MakePeerState() has to list all servers for a node that has the
+ * given revision. */
+bool NeedsFullList(const fleet::FleetState& state, uint64_t servers_revision);
+
 /** Encodes the response to a state fetch. Thread-safe. */
 std::string EncodePeerState(const PeerState& state);
 
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -30,6 +30,16 @@
 /** Timeout for fetching the state of another node. */
 constexpr std::chrono::milliseconds kFetchTimeout(1200);
 
+/** Unsent responses to fetches above which further ones are refused. The other
+ * nodes would wait for longer than it takes to ask another source. */
+constexpr size_t kMaxUnsentFetchBytes = size_t{512} * 1024;
+
+/** Unsent bytes of the control endpoint above which connections are ended. */
+constexpr size_t kMaxControlBufferBytes = size_t{4} * 1024 * 1024;
+
+/** Value of Content-Encoding of compressed states. */
+constexpr char kCompressedEncoding[] = "deflate";
+
 /** Path at which nodes fetch the state of each other. */
 constexpr char kStatePath[] = "/v1/node-state";
 
@@ -101,6 +111,19 @@
   return parsed.ec == std::errc() ? number : 0;
 }
 
+/** The state in the response to a fetch; empty if there is none. */
+std::optional<PeerState> DecodeFetched(const httpio::HttpResult& result) {
+  if (!result.head || result.head->status != 200) {
+    return std::nullopt;
+  }
+  if (httpio::FindField(result.head->fields, "Content-Encoding") !=
+      kCompressedEncoding) {
+    return DecodePeerState(result.body);
+  }
+  const auto body = Decompress(result.body);
+  return body ? DecodePeerState(*body) : std::nullopt;
+}
+
 std::string_view PathOf(const httpio::InboundRequest& request) {
   const std::string_view target = request.target;
   return target.substr(0, target.find('?'));
@@ -113,6 +136,9 @@
     httpio::InboundRequest request) {
   const EndpointResponse response = this->respond(request);
   httpio::Fields fields;
+  if (!response.content_encoding.empty()) {
+    fields.emplace_back("Content-Encoding", response.content_encoding);
+  }
   if (!response.content_type.empty()) {
     fields.emplace_back("Content-Type", response.content_type);
   }
@@ -157,6 +183,12 @@
   this->Listen(this->settings.ready, &ControlLoop::HandleReady);
   this->Listen(this->settings.directory, &ControlLoop::HandleDirectory);
   this->Listen(this->settings.control, &ControlLoop::HandleControl);
+  if (this->settings.control) {
+    this->control_listener = &this->http_endpoints.back()->listener;
+    httpio::ConnectionLimits limits;
+    limits.max_buffered_bytes = kMaxControlBufferBytes;
+    this->control_listener->SetLimits(limits);
+  }
   this->Listen(this->settings.metrics, &ControlLoop::HandleMetrics);
   const udp::endpoint address(asio::ip::make_address(this->settings.ip),
                               this->settings.peer_port);
@@ -239,7 +271,7 @@
 }
 
 void ControlLoop::Send(const fleet::SendToPeers& send) {
-  const std::string bytes = EncodePeerMessage(send.message);
+  const std::string bytes = EncodePeerMessage(send.message, send.compressed);
   for (const std::string& ip : send.ips) {
     boost::system::error_code error;
     const auto address = asio::ip::make_address(ip, error);
@@ -254,6 +286,7 @@
         .Get("peer_datagrams_sent_total",
              error ? "result=\"failed\"" : "result=\"sent\"")
         .Add();
+    this->counters.Get("peer_datagram_bytes_sent_total").Add(bytes.size());
   }
 }
 
@@ -290,13 +323,13 @@
   call.method = "GET";
   call.target = std::string(kStatePath) +
                 "?config=" + std::to_string(fetch.config_revision) +
-                "&servers=" + std::to_string(fetch.servers_revision);
+                "&servers=" + std::to_string(fetch.servers_revision) +
+                "&compressed=1";
   call.timeout = kFetchTimeout;
   channel->Call(
       std::move(call), [this, ip = fetch.ip](const httpio::HttpResult& result) {
-        const auto fetched = result.head && result.head->status == 200
-                                 ? DecodePeerState(result.body)
-                                 : std::nullopt;
+        const auto fetched = DecodeFetched(result);
+        const bool refused = result.head && result.head->status == 503;
         if (fetched) {
           const auto text = Decompress(fetched->config_text);
           auto config = text ? this->platform.DecodeConfig(*text) : nullptr;
@@ -314,10 +347,11 @@
           }
         }
         this->counters
-            .Get("peer_state_fetches_total",
-                 fetched ? "result=\"ok\"" : "result=\"failed\"")
+            .Get("peer_state_fetches_total", fetched   ? "result=\"ok\""
+                                             : refused ? "result=\"refused\""
+                                                       : "result=\"failed\"")
             .Add();
-        this->Handle(fleet::FetchEnded{ip, fetched.has_value()});
+        this->Handle(fleet::FetchEnded{ip, fetched.has_value(), refused});
       });
 }
 
@@ -373,14 +407,50 @@
 EndpointResponse ControlLoop::HandleControl(
     const httpio::InboundRequest& request) {
   if (PathOf(request) == kStatePath) {
-    const PeerState reply =
-        MakePeerState(this->state, QueryNumber(request.target, "config"),
-                      QueryNumber(request.target, "servers"));
-    return {200, "application/octet-stream", EncodePeerState(reply)};
+    return this->AnswerFetch(request);
   }
   return {404, "", ""};
 }
 
+EndpointResponse ControlLoop::AnswerFetch(
+    const httpio::InboundRequest& request) {
+  const bool has_unsent =
+      this->control_listener != nullptr &&
+      this->control_listener->BufferedBytes() > kMaxUnsentFetchBytes;
+  if (has_unsent || !this->fetch_budget.MayAnswer(BootClock::now())) {
+    this->counters.Get("peer_state_answers_total", "result=\"refused\"").Add();
+    return {503, "", ""};
+  }
+  const uint64_t config = QueryNumber(request.target, "config");
+  const uint64_t servers = QueryNumber(request.target, "servers");
+  const auto encode = [&] {
+    return EncodePeerState(MakePeerState(this->state, config, servers));
+  };
+  EndpointResponse response{200, "application/octet-stream", ""};
+  if (QueryNumber(request.target, "compressed") == 0) {
+    response.body = encode();
+  } else {
+    response.content_encoding = kCompressedEncoding;
+    const bool with_config = config < this->state.config_revision;
+    auto& cached = this->cached_list;
+    if (!NeedsFullList(this->state, servers)) {
+      response.body = Compress(encode());
+    } else if (!cached.body.empty() && cached.with_config == with_config &&
+               cached.config_revision == this->state.config_revision &&
+               cached.servers_revision == this->state.servers_revision) {
+      response.body = cached.body;
+    } else {
+      response.body = Compress(encode());
+      cached = {this->state.config_revision, this->state.servers_revision,
+                with_config, response.body};
+    }
+  }
+  this->fetch_budget.Record(response.body.size());
+  this->counters.Get("peer_state_answers_total", "result=\"ok\"").Add();
+  this->counters.Get("peer_state_bytes_sent_total").Add(response.body.size());
+  return response;
+}
+
 EndpointResponse ControlLoop::HandleMetrics(
     const httpio::InboundRequest& request) {
   if (PathOf(request) == "/metrics") {
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -144,14 +144,24 @@
 
 void Node::OnServersPublished(
     std::shared_ptr<const serving::ServerSet> servers) {
-  asio::post(this->traffic_loop, [this, servers = std::move(servers)] {
-    this->traffic->SetServers(servers);
+  if (!this->pending_servers.Put(std::move(servers))) {
+    return;
+  }
+  asio::post(this->traffic_loop, [this] {
+    if (const auto newest = this->pending_servers.Take()) {
+      this->traffic->SetServers(*newest);
+    }
   });
 }
 
 void Node::OnPeersPublished(serving::PeerSummary summary) {
-  asio::post(this->traffic_loop, [this, summary = std::move(summary)] {
-    this->traffic->SetPeers(summary);
+  if (!this->pending_peers.Put(std::move(summary), serving::MergeSummary)) {
+    return;
+  }
+  asio::post(this->traffic_loop, [this] {
+    if (const auto merged = this->pending_peers.Take()) {
+      this->traffic->SetPeers(*merged);
+    }
   });
 }
 
@@ -259,9 +269,13 @@
   }
   if (now >= this->next_report_time) {
     this->next_report_time = now + kReportPeriod;
-    asio::post(this->control_loop, [this, report = this->traffic->Report(now)] {
-      this->control->Handle(fleet::TrafficReported{report});
-    });
+    if (this->pending_report.Put(this->traffic->Report(now))) {
+      asio::post(this->control_loop, [this] {
+        if (auto report = this->pending_report.Take()) {
+          this->control->Handle(fleet::TrafficReported{std::move(*report)});
+        }
+      });
+    }
   }
   if (this->shutdown_started) {
     const Duration elapsed = now - *this->shutdown_started;
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -13,6 +13,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <set>
 #include <sstream>
 
 #include "base/body_func.h"
@@ -116,12 +117,19 @@
   });
 }
 
-/** Maximum size of a configuration text; values in the store are smaller. */
-constexpr size_t kMaxConfigBytes = size_t{16} * 1024 * 1024;
+/** First byte of a compressed message: that of the zlib format with a window of
+ * 32 KiB. Other messages begin with cereal's byte for the byte order, 0 or 1.
+ */
+constexpr char kCompressedMark = 0x78;
+
+/** Largest size of a message after decompression; a datagram has at most
+ * 64 KiB. */
+constexpr size_t kMaxMessageBytes = size_t{128} * 1024;
 
 }  // namespace
 
-std::string EncodePeerMessage(const serving::PeerMessage& message) {
+std::string EncodePeerMessage(const serving::PeerMessage& message,
+                              bool compressed) {
   std::ostringstream stream(std::ios::binary);
   {
     cereal::PortableBinaryOutputArchive archive(stream);
@@ -134,10 +142,18 @@
       archive(message.report.extensions);
     }
   }
-  return stream.str();
+  return compressed ? Compress(stream.str()) : stream.str();
 }
 
 std::optional<serving::PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  std::optional<std::string> plain;
+  if (!bytes.empty() && bytes.front() == kCompressedMark) {
+    plain = Decompress(bytes, kMaxMessageBytes);
+    if (!plain) {
+      return std::nullopt;
+    }
+    bytes = *plain;
+  }
   try {
     BodyReader reader(bytes);
     serving::PeerMessage message;
@@ -185,7 +201,8 @@
   return compressed;
 }
 
-std::optional<std::string> Decompress(std::string_view compressed) {
+std::optional<std::string> Decompress(std::string_view compressed,
+                                      size_t max_bytes) {
   std::string text;
   z_stream stream{};
   if (inflateInit(&stream) != Z_OK) {
@@ -197,7 +214,7 @@
   stream.avail_in = static_cast<uInt>(compressed.size());
   std::array<char, 65536> chunk{};
   int result = Z_OK;
-  while (result == Z_OK && text.size() <= kMaxConfigBytes) {
+  while (result == Z_OK && text.size() <= max_bytes) {
     stream.next_out = reinterpret_cast<Bytef*>(chunk.data());
     stream.avail_out = chunk.size();
     result = inflate(&stream, Z_NO_FLUSH);
@@ -209,6 +226,10 @@
   return text;
 }
 
+bool NeedsFullList(const fleet::FleetState& state, uint64_t servers_revision) {
+  return servers_revision == 0 || servers_revision < state.changes_base;
+}
+
 PeerState MakePeerState(const fleet::FleetState& state,
                         uint64_t config_revision,
                         uint64_t servers_revision) {
@@ -220,19 +241,23 @@
   reply.servers_revision = state.servers_revision;
   reply.servers_known = state.servers_known;
   reply.base_revision = servers_revision;
-  reply.full_list =
-      servers_revision == 0 || servers_revision < state.changes_base;
+  reply.full_list = NeedsFullList(state, servers_revision);
   if (reply.full_list) {
     for (const auto& [id, server] : state.servers) {
       reply.servers.push_back(server);
     }
     return reply;
   }
-  for (const fleet::ServerChanged& change : state.changes) {
-    if (change.revision > servers_revision) {
-      reply.changes.push_back(change);
+  // Only the newest change of each server.
+  std::set<std::string_view> known;
+  for (auto change = state.changes.rbegin();
+       change != state.changes.rend() && change->revision > servers_revision;
+       ++change) {
+    if (known.insert(change->id).second) {
+      reply.changes.push_back(*change);
     }
   }
+  std::ranges::reverse(reply.changes);
   return reply;
 }
 
--- a/packages/serving/include/serving/peer_extension_type.h
+++ b/packages/serving/include/serving/peer_extension_type.h
@@ -20,6 +20,18 @@
   kServiceRoom = 2,      ///< Free slots and waiting requests, by service.
   kRolloutState = 3,     ///< The duty holder's decision on a roll-out.
   kRolloutEvidence = 4,  ///< Results of the versions of a service.
+  kForwarding = 5,       ///< One byte of ForwardingFlag.
+};
+
+/** Bits of the payload of kForwarding. A node that sends this extension
+ * understands compressed messages, forwards messages and accepts those with
+ * kPartial. */
+enum ForwardingFlag : uint8_t {
+  kForward =
+      1,  ///< To be forwarded once to the nodes of the receiver's region.
+  /** Only status, admitted units, departures and leaving servers are present;
+   * the rest of the sender's last report stays in force. */
+  kPartial = 2,
 };
 
 /** Nodes to which an extension is sent. */
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -206,4 +206,12 @@
   Duration message_period{};  ///< Time between two messages of a node.
 };
 
+/**
+ * Merges a summary into an earlier one that the data plane has not taken yet.
+ * Quota units are added up. Of prefixes, crashes and extensions, the newest are
+ * kept up to a bound; everything else is replaced.
+ * @note Thread-safe.
+ */
+void MergeSummary(PeerSummary& pending, PeerSummary newer);
+
 }  // namespace boragewharf::serving
