--- a/packages/eventlog/include/eventlog/exception_guard_base.h
+++ b/packages/eventlog/include/eventlog/handler_guard_base.h
@@ -1,5 +1,5 @@
 /**
- * @file exception_guard_base.h
+ * @file handler_guard_base.h
  * Last resort against exceptions in the event handlers of a thread.
  */
 #pragma once
@@ -20,12 +20,10 @@
  * "handler_exception" and counts in "handler_exceptions_total".
  * @note Thread-safe, but meant for one event loop.
  */
-class ExceptionGuard {
+class HandlerGuard {
  public:
   /** @param loop Name of the event loop, for the log and the counter. */
-  ExceptionGuard(std::string_view loop,
-                 EventLog& log,
-                 CounterRegistry& counters);
+  HandlerGuard(std::string_view loop, EventLog& log, CounterRegistry& counters);
 
   /**
    * Calls @p handler and catches what it throws.
@@ -59,7 +57,7 @@
  * exceptions of its handlers.
  */
 template <class Loop>
-void RunGuarded(Loop& loop, ExceptionGuard& guard) {
+void RunGuarded(Loop& loop, HandlerGuard& guard) {
   while (!guard.Call("event_loop", [&] { loop.run(); })) {
   }
 }
--- a/packages/eventlog/src/exception_guard_base.cc
+++ b/packages/eventlog/src/handler_guard_base.cc
@@ -1,8 +1,8 @@
 /**
- * @file exception_guard_base.cc
+ * @file handler_guard_base.cc
  * Reports of exceptions in event handlers.
  */
-#include "eventlog/exception_guard_base.h"
+#include "eventlog/handler_guard_base.h"
 
 #include <cstdio>
 
@@ -15,13 +15,13 @@
 
 }  // namespace
 
-ExceptionGuard::ExceptionGuard(std::string_view loop,
-                               EventLog& event_log,
-                               CounterRegistry& registry)
+HandlerGuard::HandlerGuard(std::string_view loop,
+                           EventLog& event_log,
+                           CounterRegistry& registry)
     : name(loop), log(event_log), counters(registry) {}
 
-void ExceptionGuard::Report(std::string_view source,
-                            std::string_view reason) noexcept {
+void HandlerGuard::Report(std::string_view source,
+                          std::string_view reason) noexcept {
   try {
     this->counters
         .Get("handler_exceptions_total", "loop=\"" + this->name +
--- a/packages/eventlog/tests/event_log_test.cc
+++ b/packages/eventlog/tests/event_log_test.cc
@@ -15,7 +15,7 @@
 
 #include "base/scope_guard.h"
 #include "eventlog/event_log_base.h"
-#include "eventlog/exception_guard_base.h"
+#include "eventlog/handler_guard_base.h"
 
 namespace boragewharf {
 namespace {
@@ -120,10 +120,10 @@
 
 // Guards against an exception in one event handler that ends the process, or
 // the handling of later events.
-TEST(ExceptionGuardTest, LoopGoesOnAfterExceptionsAndReportsThem) {
+TEST(HandlerGuardTest, LoopGoesOnAfterExceptionsAndReportsThem) {
   CounterRegistry counters;
   TextLog log;
-  ExceptionGuard guard("traffic", log, counters);
+  HandlerGuard guard("traffic", log, counters);
   int handled = 0;
   FakeLoop loop;
   loop.handlers = {
--- a/packages/httpio/src/http_channel_base.cc
+++ b/packages/httpio/src/http_channel_base.cc
@@ -11,8 +11,6 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
-#include "base/scope_guard.h"
-
 namespace boragewharf::httpio {
 namespace {
 
@@ -225,13 +223,13 @@
     Callback callback = std::move(this->queue.front().second);
     this->queue.pop_front();
     HttpResult completed_result = std::move(this->result);
-    // Queued calls are made even if the callback throws.
-    ScopeGuard resume([&] {
-      asio::post(this->socket.get_executor(),
-                 [self] { self->StartNextCall(); });
-    });
-    callback(std::move(completed_result));
-    resume.Dismiss();
+    try {
+      callback(std::move(completed_result));
+    } catch (...) {
+      // The queued calls are still made.
+      asio::post(this->timer.get_executor(), [self] { self->StartNextCall(); });
+      throw;
+    }
     this->StartNextCall();
   }
 
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -12,8 +12,9 @@
 #include <optional>
 #include <thread>
 
-#include "eventlog/exception_guard_base.h"
+#include "eventlog/handler_guard_base.h"
 #include "node/control_loop_base.h"
+#include "node/latest_slot_base.h"
 #include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 #include "relay/traffic_core_base.h"
@@ -57,7 +58,7 @@
   void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) override;
   void OnSuspectsRestored(const serving::SuspectReport& suspects) override;
-  /** Runs @p handler on the traffic loop. @param source See ExceptionGuard. */
+  /** Runs @p handler on the traffic loop. @param source See HandlerGuard. */
   template <class Handler>
   void PostToTraffic(const char* source, Handler handler);
   void WaitForSignal();
@@ -68,12 +69,17 @@
   void TickTraffic();
   void CheckSettingsFile();
 
+  /** Values for the traffic loop and the control loop that they have not taken
+   * yet. A loop that is late takes the newest, so that no queue grows. */
+  LatestSlot<std::shared_ptr<const serving::ServerSet>> pending_servers;
+  LatestSlot<serving::PeerSummary> pending_peers;
+  LatestSlot<serving::TrafficReport> pending_report;
   NodeSettings settings;
   std::string settings_path;
   CounterRegistry counters;
   std::unique_ptr<EventLog> log;
-  ExceptionGuard control_guard;
-  ExceptionGuard traffic_guard;
+  HandlerGuard control_guard;
+  HandlerGuard traffic_guard;
   LoopDelayMonitor traffic_delay_monitor;  ///< Traffic loop only.
   boost::asio::io_context control_loop{1};
   boost::asio::io_context traffic_loop{1};
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -15,7 +15,7 @@
 #include "admission/admission_type.h"
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
-#include "eventlog/exception_guard_base.h"
+#include "eventlog/handler_guard_base.h"
 #include "httpio/server_connection_base.h"
 #include "relay/request_wire_base.h"
 #include "relay/server_pool_base.h"
@@ -222,7 +222,7 @@
   const RequestCodec& codec;
   EventLog& log;
   CounterRegistry& counters;
-  ExceptionGuard guard;
+  HandlerGuard guard;
   ServerPool pool;
   std::shared_ptr<const serving::ServingConfig> config;
   uint64_t servers_revision = 0;
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -97,7 +97,7 @@
 
  private:
   /** Calls @p handler; if it throws, ends this request only. @param source See
-   * ExceptionGuard. */
+   * HandlerGuard. */
   void Protect(std::string_view source, const std::function<void()>& handler);
   /** Refuses the request, or cuts its response off if that has begun. */
   void EndAfterException();
