--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -12,7 +12,6 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "admission/admission_type.h"
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
 #include "eventlog/handler_guard_base.h"
@@ -33,10 +32,6 @@
 #include "serving/routing_policy_base.h"
 #include "serving/shared_state_base.h"
 
-namespace boragewharf::admission {
-class Admission;
-}
-
 namespace boragewharf::relay {
 
 class Exchange;
@@ -179,31 +174,6 @@
    * add themselves again. */
   void StartWaitingRequests();
 
-  /** Servers of a service that accept requests, for the admission. */
-  admission::ServiceCapacity CapacityOf(const std::string& service,
-                                        TimePoint now) const;
-
-  /** Servers of a service that have lately rejected a request and run as many
-   * as then; at most kMaxServersAtLimit. */
-  std::vector<std::string> ServersAtLimit(const std::string& service,
-                                          TimePoint now) const;
-
-  /** Starts waiting requests of a service while the admission allows. */
-  void StartAdmitted(const std::string& service);
-
-  /** Calls StartAdmitted() soon, after the current event. */
-  void ScheduleStart(const std::string& service);
-
-  /** Refuses waiting requests that cannot be started in time, and starts those
-   * that can be started now. */
-  void CheckWaiting(TimePoint now);
-
-  /** Ends waiting requests that the admission has refused. */
-  void EndRefused(const std::vector<admission::Refusal>& refusals);
-
-  /** Updates counters, and logs when requests begin or cease to wait. */
-  void ReportAdmission(TimePoint now);
-
   /** Upper estimate of the time a request on @p route takes; empty if unknown.
    */
   std::optional<Duration> ExpectedDuration(
@@ -262,19 +232,6 @@
       exchanges;
   /** Requests that arrived before the first configuration and server list. */
   std::vector<std::shared_ptr<Exchange>> waiting_for_config;
-  std::unique_ptr<admission::Admission> admission;
-  uint64_t last_waiting_id = 0;
-  /** Requests that wait for a server. */
-  std::unordered_map<admission::RequestId, std::shared_ptr<Exchange>>
-      waiting_for_server;
-  std::unordered_set<std::string> scheduled_starts;  ///< See ScheduleStart().
-  /** A service of which requests wait, or have waited lately. */
-  struct QueueEpisode {
-    TimePoint began;
-    TimePoint last_waiting;
-    admission::AdmissionTotals totals;  ///< At the beginning.
-  };
-  std::map<std::string, QueueEpisode> queue_episodes;
   /** Requests that began to run, by usage window and customer. */
   std::map<int64_t, std::map<std::string, uint32_t>> usage;
   /** Demand for a service at this node. */
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -3,7 +3,6 @@
  * Admission of a request, choice of a server, sending and retries.
  */
 #include "exchange_base.h"
-#include "admission/admission_base.h"
 
 #include <algorithm>
 #include <cctype>
@@ -17,6 +16,13 @@
 using serving::RetryDecision;
 using serving::RouteKind;
 
+/** Retry-After if no server of the service is available. */
+constexpr Milliseconds kRetryAfterNoServer(1000);
+
+/** Retry-After if all servers are full; a running request ends every few dozen
+ * ms. */
+constexpr Milliseconds kRetryAfterFull(400);
+
 /** Time that requests wait for the first configuration and server list. A node
  * reads them within a few dozen ms of its start if the store answers. */
 constexpr Milliseconds kConfigWait(400);
@@ -121,12 +127,27 @@
       !this->CheckPlannedStop() || !this->CheckCrashes() || !this->Admit()) {
     return;
   }
-  this->MakeProfile();
-  this->core.admission->CountArrival(this->profile, this->arrived);
-  const bool others_wait = this->core.admission->HasWaiting(this->service_name);
-  if (others_wait || this->TryServer(false) != SendResult::kSent) {
-    this->WaitForServer(!others_wait);
+  if (!this->TryServer(false)) {
+    TrafficCore::Demand& demand = this->core.demand[this->service_name];
+    demand.refused += 1;
+    demand.tokens_in_period += this->request.facts.prompt_tokens;
+    this->RefuseWithoutServer();
+  }
+}
+
+void Exchange::RefuseWithoutServer() {
+  const TimePoint now = BootClock::now();
+  if (!this->core.pool.Candidates(this->service_name, {}, now).empty()) {
+    this->Refuse(503, kRetryAfterFull, "servers_full");
+    return;
+  }
+  const auto wait = this->core.pool.TimeUntilCandidate(this->service_name, now);
+  if (wait) {
+    this->Refuse(503, std::chrono::ceil<Milliseconds>(*wait),
+                 "servers_want_no_requests");
+    return;
   }
+  this->Refuse(503, kRetryAfterNoServer, "no_server");
 }
 
 bool Exchange::CheckRequest() {
@@ -257,22 +278,18 @@
   return candidates[choice->index];
 }
 
-Exchange::SendResult Exchange::TryServer(bool uses_retry_budget) {
+bool Exchange::TryServer(bool uses_retry_budget) {
   const std::shared_ptr<PooledServer> server = this->ChooseServer();
   if (!server) {
-    return SendResult::kNoServer;
+    return false;
   }
-  const TimePoint now = BootClock::now();
   if (uses_retry_budget &&
-      !this->core.budget.TakeRetry(this->service_name, this->core.nodes, now)) {
-    return SendResult::kNoBudget;
-  }
-  if (!this->counts_as_started) {
-    this->counts_as_started = true;
-    this->core.admission->CountStart(this->profile, now);
+      !this->core.budget.TakeRetry(this->service_name, this->core.nodes,
+                                   BootClock::now())) {
+    return false;
   }
   this->SendTo(server, std::nullopt);
-  return SendResult::kSent;
+  return true;
 }
 
 void Exchange::SendTo(const std::shared_ptr<PooledServer>& server,
@@ -362,7 +379,6 @@
     this->attempt->connection->Close();
   }
   this->attempt.reset();
-  this->core.ScheduleStart(this->service_name);
 }
 
 void Exchange::OnSending() {
@@ -457,19 +473,14 @@
   if (unreached && this->excluded_servers.size() >= kMaxUnreachableAttempts) {
     decision = serving::DecideAfterFailure(facts, false);
   }
-  bool no_server = false;
   if (decision == RetryDecision::kResend) {
     if (this->CancelIfClientGone()) {
       return;
     }
     std::optional<Attempt> failed = std::exchange(this->attempt, std::nullopt);
     const std::string body_of_failed = this->buffered;
-    const bool crashes = this->CrashesServers(now);
-    const SendResult result =
-        crashes ? SendResult::kNoBudget
-                : this->TryServer(this->sends > 0 && !unreached);
-    const bool resent = result == SendResult::kSent;
-    no_server = result == SendResult::kNoServer;
+    const bool resent = !this->CrashesServers(now) &&
+                        this->TryServer(this->sends > 0 && !unreached);
     std::optional<Attempt> next =
         std::exchange(this->attempt, std::move(failed));
     if (resent) {
@@ -488,13 +499,11 @@
       this->AbortClient(FailureName(failure));
       return;
     case RetryDecision::kAnswerNotRun:
-      if (no_server) {
-        this->ReleaseAttempt();
-        this->DropBuffered();
-        this->WaitForServer(true);
+      if (paused) {
+        this->RefuseWithoutServer();
         return;
       }
-      this->RefuseAfterAttempt(paused ? "servers_full" : FailureName(failure));
+      this->Refuse(503, kRetryAfterFull, FailureName(failure));
       return;
     case RetryDecision::kAnswerUnknown:
     case RetryDecision::kResend:
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -12,7 +12,6 @@
 #include <string>
 #include <vector>
 
-#include "admission/admission_type.h"
 #include "httpio/server_connection_base.h"
 #include "relay/server_pool_base.h"
 #include "relay/traffic_core_base.h"
@@ -60,20 +59,6 @@
   /** The client closed its connection: cancels the request at the server. */
   void OnClientDisconnected();
 
-  /** Result of StartFromQueue(). */
-  enum class QueueStart : uint8_t {
-    kSent,
-    kNoServer,  ///< It still waits.
-    kEnded,     ///< It was refused, or its client is gone.
-  };
-
-  /** Sends a waiting request to a server, after the checks that hold before
-   * each start. @pre It waits. */
-  QueueStart StartFromQueue();
-
-  /** Ends the request with a refusal of the admission. */
-  void RefuseForCapacity(const admission::Refusal& refusal);
-
   /** Ends the request if it would crash its server and has no event yet. */
   void AbandonIfBlocked();
 
@@ -190,20 +175,9 @@
   TimePoint EffectiveDeadline() const;
   bool Admit();
   void LogQuotaExceeded(double cost);
-  /** Result of TryServer(). */
-  enum class SendResult : uint8_t { kSent, kNoServer, kNoBudget };
-  SendResult TryServer(bool uses_retry_budget);
-  /** Fills the profile for the admission. */
-  void MakeProfile();
-  /** Lets the request wait for a server if the admission allows, else refuses
-   * it. @param tried Whether no server was found just now. */
-  void WaitForServer(bool tried);
-  /** Refuses the request, which has not run, for lack of servers. */
-  void RefuseAfterAttempt(std::string_view reason);
-  /** Takes back that the request counts as started; it has not run. */
-  void TakeBackStart();
-  /** Ends a waiting request whose node stops first. */
-  void CheckWaitingTime(TimePoint now);
+  bool TryServer(bool uses_retry_budget);
+  /** Refuses the request because no server can take it. */
+  void RefuseWithoutServer();
   void SendTo(const std::shared_ptr<PooledServer>& server,
               std::optional<serving::MoveSource> from);
   std::shared_ptr<PooledServer> ChooseServer();
@@ -271,12 +245,6 @@
   std::vector<uint64_t> shared_parts;  ///< Ids, in the order of the prompt.
   bool parts_exonerated = false;       ///< See ExonerateParts().
   double quota_cost = 0;
-  admission::RequestProfile profile;
-  std::optional<admission::RequestId> waiting_id;  ///< Set while it waits.
-  bool counts_as_started = false;                  ///< For the admission.
-  TimePoint waiting_since;
-  Duration waited{};  ///< For a server, in total.
-  std::optional<serving::Milliseconds> told_retry_after;
   TimePoint arrived;
   TimePoint route_deadline;
   TimePoint client_deadline;
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -4,7 +4,6 @@
  */
 #include <utility>
 
-#include "admission/admission_base.h"
 #include "exchange_base.h"
 
 namespace boragewharf::relay {
@@ -34,7 +33,6 @@
   if (not_run && this->customer != nullptr && this->quota_cost > 0) {
     this->core.quotas.Refund(this->customer->name, this->quota_cost);
   }
-  this->told_retry_after = retry_after;
   httpio::Fields fields = this->core.codec.ResponseFields(
       this->request.facts.attempt_id, retry_after);
   fields.emplace_back("Content-Type", "application/json");
@@ -65,7 +63,7 @@
   const MoveStep step =
       this->attempt ? this->attempt->move.step : MoveStep::kNone;
   const bool moving = step == MoveStep::kCopying || step == MoveStep::kStopping;
-  std::string_view stage = this->waiting_id ? "queued" : "not_sent";
+  std::string_view stage = "not_sent";
   if (this->attempt && this->attempt->sent) {
     stage = this->answer_started ? "answering" : "waiting";
   } else if (this->attempt) {
@@ -94,12 +92,6 @@
   }
   this->done = true;
   const auto self = this->shared_from_this();
-  if (this->waiting_id) {
-    this->waited += BootClock::now() - this->waiting_since;
-    this->core.admission->Remove(*this->waiting_id);
-    this->core.waiting_for_server.erase(*this->waiting_id);
-    this->waiting_id.reset();
-  }
   const TimePoint now = BootClock::now();
   const bool served = outcome == "served";
   if (served && this->IsStream()) {
@@ -140,9 +132,6 @@
        {"load_age_ms", this->choice_inputs.load_age_ms},
        {"speed_percent", this->choice_inputs.speed_percent},
        {"copy_from", this->choice_inputs.copy_from},
-       {"queued_ms", Millis(this->waited)},
-       {"retry_after_ms",
-        this->told_retry_after ? this->told_retry_after->count() : -1},
        {"total_ms", Millis(now - this->arrived)},
        {"status", status},
        {"outcome", outcome}});
--- a/packages/relay/src/exchange_guard.cc
+++ b/packages/relay/src/exchange_guard.cc
@@ -65,14 +65,10 @@
 }
 
 void Exchange::CheckTime(TimePoint now) {
-  if (this->done) {
+  if (this->done || !this->attempt) {
     return;
   }
-  if (this->waiting_id) {
-    this->Protect("request_time", [&] { this->CheckWaitingTime(now); });
-  } else if (this->attempt) {
-    this->Protect("request_time", [&] { this->CheckTimes(now); });
-  }
+  this->Protect("request_time", [&] { this->CheckTimes(now); });
 }
 
 void Exchange::OnClientDisconnected() {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "admission/admission_base.h"
 #include "exchange_base.h"
 #include "serving/crash_evidence_func.h"
 
@@ -89,12 +88,7 @@
       observers{&this->server_speeds},
       shared_states{&this->server_speeds},
       generator(std::random_device{}()),
-      admission(
-          std::make_unique<admission::Admission>(admission::AdmissionOptions{},
-                                                 std::random_device{}())),
       demand_updated(BootClock::now()) {
-  this->observers.push_back(this->admission.get());
-  this->shared_states.push_back(this->admission.get());
   if (limits.rollout) {
     this->rollout_agent.emplace(*limits.rollout, std::random_device{}());
     this->pool.SetRolloutAgent(&*this->rollout_agent);
@@ -106,8 +100,6 @@
 TrafficCore::~TrafficCore() {
   // Requests in progress use the other members when they end.
   this->waiting_for_config.clear();
-  this->admission->Clear();
-  this->waiting_for_server.clear();
   this->exchanges.clear();
 }
 
@@ -147,7 +139,6 @@
   }
   this->RequestStopNotices(now);
   this->StartWaitingRequests();
-  this->CheckWaiting(now);
 }
 
 void TrafficCore::RequestStopNotices(TimePoint now) {
@@ -263,7 +254,6 @@
   if (any_leaves) {
     this->RequestStopNotices(BootClock::now());
   }
-  this->CheckWaiting(BootClock::now());
   if (!this->config) {
     return;
   }
@@ -380,7 +370,6 @@
           kDemandWeight * (rate - seen.prefill_per_second);
       seen.tokens_in_period = 0;
     }
-    this->admission->SetRunning(service, seen.running);
     report.demand[serving::HashName(service)] = serving::ServiceDemand{
         seen.running, static_cast<uint32_t>(seen.prefill_per_second),
         seen.refused};
@@ -429,9 +418,6 @@
     exchange->CheckTime(now);
   }
   this->pool.CheckTime(now);
-  this->admission->CheckTime(now);
-  this->CheckWaiting(now);
-  this->ReportAdmission(now);
   this->CheckLeavingServers(now);
   this->CountCrashes(now);
   if (now >= this->next_crash_evaluation) {
