--- a/packages/node/tests/latest_slot_test.cc
+++ b/packages/node/tests/latest_slot_test.cc
@@ -76,7 +76,7 @@
       DecodePeerMessage(changed);
     }
   }
-  const std::string bomb = Compress(std::string(8 * 1024 * 1024, 'x'));
+  const std::string bomb = Compress(std::string(size_t{8} * 1024 * 1024, 'x'));
   EXPECT_FALSE(DecodePeerMessage(bomb));
 }
 
--- a/packages/rollout/src/evidence_base.cc
+++ b/packages/rollout/src/evidence_base.cc
@@ -60,7 +60,7 @@
   const uint64_t slots = std::max(1U, situation.slots);
   const auto load = static_cast<uint32_t>(
       std::min<uint64_t>(kClasses - 1, situation.running * kLoadSteps / slots));
-  const int bits = std::bit_width(situation.tokens);
+  const auto bits = static_cast<int>(std::bit_width(situation.tokens));
   const auto size = static_cast<uint32_t>(
       std::clamp(bits - kMinTokenBits, 0, static_cast<int>(kClasses) - 1));
   return static_cast<uint16_t>(
--- a/packages/rollout/tests/message_test.cc
+++ b/packages/rollout/tests/message_test.cc
@@ -114,8 +114,10 @@
   EXPECT_EQ(ExposedServers(0.1, 6, 6), 2U);
   EXPECT_EQ(ExposedServers(0.1, 96, 96), 9U);
   EXPECT_EQ(ExposedServers(0.1, 6, 1), 1U);
+  constexpr int kServers = 6;
   std::vector<std::string> ids;
-  for (int i = 0; i < 6; ++i) {
+  ids.reserve(kServers);
+  for (int i = 0; i < kServers; ++i) {
     ids.push_back("server-" + std::to_string(i));
   }
   std::set<std::string> seen;
