--- a/packages/admission/tests/admission_load_test.cc
+++ b/packages/admission/tests/admission_load_test.cc
@@ -13,9 +13,9 @@
 
 /** Group of the customers of an urgency; the last one is the heavy customer. */
 size_t GroupOf(uint32_t urgency, uint32_t customer) {
-  return urgency * kCustomers + customer;
+  return size_t{urgency} * kCustomers + customer;
 }
-constexpr size_t kHeavyGroup = kUrgencies * kCustomers;
+constexpr size_t kHeavyGroup = size_t{kUrgencies} * kCustomers;
 
 struct LoadResult {
   std::vector<double> served;   ///< Share, by urgency.
