Log which requests a stopping node takes, and which its end cuts off

Change: taken_in_stop has the same fields as outlasts_stop. When the process exits, each request in progress is answered (504, or 503 if it was not sent) if its response has not begun; else its line has the outcome cut_off_by_stop.

--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -317,6 +317,8 @@
         !this->client_listener || this->client_listener->Connections() == 0;
     if (this->exit_started &&
         (closed || now - *this->exit_started >= kFinalAnswerTime)) {
+      this->traffic_guard.Call("traffic_end",
+                               [&] { this->traffic->EndRequests(); });
       asio::post(this->control_loop, [this] { this->control_loop.stop(); });
       return;
     }
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -104,6 +104,9 @@
    */
   void SetShutdownTime(TimePoint end);
 
+  /** Ends the requests that are still in progress when the process exits. */
+  void EndRequests();
+
   /** Load, quota use, demand, usage and crash data for the other nodes. */
   serving::TrafficReport Report(TimePoint now);
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -194,16 +194,18 @@
       *this->core.shutdown_at - now, this->Deadline() - now,
       this->core.ExpectedDuration(*this->route, this->request.facts),
       this->IsStream() && others_ready};
-  if (serving::EndsBeforeStop(facts)) {
-    return true;
-  }
+  const bool taken = serving::EndsBeforeStop(facts);
   this->core.log.Write(
-      EventLevel::kInfo, "outlasts_stop",
+      EventLevel::kInfo, taken ? "taken_in_stop" : "outlasts_stop",
       {{"id", this->request.facts.attempt_id},
+       {"stream", this->IsStream()},
        {"left_ms", Millis(facts.left)},
        {"limit_ms", Millis(facts.limit)},
        {"expected_ms", facts.expected ? Millis(*facts.expected) : -1},
        {"ready_nodes", this->core.ready_nodes}});
+  if (taken) {
+    return true;
+  }
   this->Refuse(503, others_ready ? kRetryAfterOtherNode : kRetryAfterShutdown,
                "leaving");
   return false;
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -74,6 +74,10 @@
   /** Applies timeouts, and moves the request away from a stopping server. */
   void CheckTime(TimePoint now);
 
+  /** Ends the request because the process exits: answers it if its response
+   * has not begun, else cuts the response off. */
+  void EndWithNode();
+
   void OnSending() override;
   bool OnHead(const httpio::ResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
--- a/packages/relay/src/exchange_guard.cc
+++ b/packages/relay/src/exchange_guard.cc
@@ -71,6 +71,18 @@
   this->Protect("request_time", [&] { this->CheckTimes(now); });
 }
 
+void Exchange::EndWithNode() {
+  this->Protect("node_end", [&] {
+    if (this->answer_started) {
+      this->AbortClient("cut_off_by_stop");
+      return;
+    }
+    const bool may_run =
+        this->may_have_run || (this->attempt && this->attempt->sent);
+    this->Refuse(may_run ? 504 : 503, std::nullopt, "leaving");
+  });
+}
+
 void Exchange::OnClientDisconnected() {
   this->Protect("client_gone", [&] { this->Cancel(); });
 }
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -321,6 +321,17 @@
   this->shutdown_at = std::min(this->shutdown_at.value_or(end), end);
 }
 
+void TrafficCore::EndRequests() {
+  std::vector<std::shared_ptr<Exchange>> all;
+  all.reserve(this->exchanges.size());
+  for (const auto& [connection, exchange] : this->exchanges) {
+    all.push_back(exchange);
+  }
+  for (const auto& exchange : all) {
+    exchange->EndWithNode();
+  }
+}
+
 std::optional<Duration> TrafficCore::ExpectedDuration(
     const serving::Route& route,
     const serving::RequestFacts& facts) const {
