Count the grace period of a planned stop from the signal

Cause: SIGTERM was handled on the control loop, which passed the stop on to the traffic loop, which counted the grace period from then on. A loop that is late by more than the exit margin (300 ms) moved the end of the node behind that of the grace period, and the process was killed with requests that it meant to finish or to answer. The exit also waited for the control loop. Change: a thread of its own receives signals and notes their time; it tells both loops, and the traffic loop ends the process without waiting for the control loop. Why this works: the thread does nothing else, so its delay is that of the scheduler alone. Whether this is what the users saw is not shown.

--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -17,6 +16,7 @@
 #include "node/latest_slot_base.h"
 #include "node/loop_delay_base.h"
 #include "node/node_settings.h"
+#include "node/signal_receiver_base.h"
 #include "relay/traffic_core_base.h"
 
 namespace boragewharf::node {
@@ -61,9 +61,11 @@
   /** Runs @p handler on the traffic loop. @param source See HandlerGuard. */
   template <class Handler>
   void PostToTraffic(const char* source, Handler handler);
-  void WaitForSignal();
+  /** Called on the thread of the signal receiver. */
+  void OnSignal(int number, TimePoint received);
   void ReloadSettings();
-  void BeginShutdown();
+  /** Starts the planned stop, whose grace period began at @p received. */
+  void BeginShutdown(TimePoint received);
   /** Rejects all further requests; the process exits soon after. */
   void BeginExit(TimePoint now);
   void TickTraffic();
@@ -88,12 +90,13 @@
   std::optional<relay::TrafficCore> traffic;
   std::optional<httpio::HttpListener> client_listener;
   std::optional<boost::asio::steady_timer> traffic_timer;
-  boost::asio::signal_set signals;
   boost::asio::steady_timer settings_timer;
   std::string last_settings_text;
   TimePoint next_report_time;
-  std::optional<TimePoint> shutdown_started;  ///< Traffic loop only.
-  std::optional<TimePoint> exit_started;      ///< Traffic loop only.
+  /** When the stop signal arrived. Traffic loop only. */
+  std::optional<TimePoint> shutdown_started;
+  std::optional<TimePoint> exit_started;  ///< Traffic loop only.
+  SignalReceiver signals;                 ///< Uses the other members.
 };
 
 }  // namespace boragewharf::node
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -86,7 +86,6 @@
       traffic_guard("traffic", *log, counters),
       traffic_delay_monitor("traffic", *log, counters),
       platform(make_platform(control_loop, *log, counters)),
-      signals(control_loop, SIGTERM, SIGINT, SIGHUP),
       settings_timer(control_loop) {
   const relay::NodeLocation place{this->settings.zone, this->settings.region,
                                   this->settings.zone_regions};
@@ -118,7 +117,10 @@
                    {{"zone", this->settings.zone},
                     {"first_start", this->settings.first_start}});
   this->last_settings_text = ReadFile(this->settings_path);
-  this->WaitForSignal();
+  this->signals.Start([this](int number, TimePoint received) {
+    this->control_guard.Call("signal",
+                             [&] { this->OnSignal(number, received); });
+  });
   this->CheckSettingsFile();
   this->TickTraffic();
   std::thread traffic_thread(
@@ -203,21 +205,14 @@
   });
 }
 
-void Node::WaitForSignal() {
-  this->signals.async_wait(
-      [this](const boost::system::error_code& error, int number) {
-        if (error) {
-          return;
-        }
-        this->control_guard.Call("signal", [&] {
-          if (number == SIGHUP) {
-            this->ReloadSettings();
-          } else {
-            this->BeginShutdown();
-          }
-        });
-        this->WaitForSignal();
-      });
+void Node::OnSignal(int number, TimePoint received) {
+  if (number == SIGHUP) {
+    asio::post(this->control_loop, [this] {
+      this->control_guard.Call("reload", [&] { this->ReloadSettings(); });
+    });
+    return;
+  }
+  this->BeginShutdown(received);
 }
 
 void Node::ReloadSettings() {
@@ -253,16 +248,20 @@
       });
 }
 
-void Node::BeginShutdown() {
+void Node::BeginShutdown(TimePoint received) {
   this->log->Write(EventLevel::kInfo, "leaving",
                    {{"grace_ms", this->settings.bounds.grace.count()}});
-  this->control->Handle(fleet::StopRequested{});
-  asio::post(this->traffic_loop, [this] {
+  // Neither loop waits for the other, which may be late.
+  asio::post(this->control_loop, [this] {
+    this->control_guard.Call(
+        "stop", [&] { this->control->Handle(fleet::StopRequested{}); });
+  });
+  this->PostToTraffic("stop", [this, received] {
     if (!this->shutdown_started) {
-      this->shutdown_started = BootClock::now();
+      this->shutdown_started = received;
       const Duration grace = this->settings.bounds.grace;
-      this->traffic->SetShutdownTime(*this->shutdown_started + grace -
-                                     ExitMargin(grace) - kFinalAnswerTime);
+      this->traffic->SetShutdownTime(received + grace - ExitMargin(grace) -
+                                     kFinalAnswerTime);
     }
   });
 }
@@ -319,7 +318,7 @@
         (closed || now - *this->exit_started >= kFinalAnswerTime)) {
       this->traffic_guard.Call("traffic_end",
                                [&] { this->traffic->EndRequests(); });
-      asio::post(this->control_loop, [this] { this->control_loop.stop(); });
+      this->control_loop.stop();
       return;
     }
   }
