Tell other nodes the time of the stop signal, not that of its handling

Cause: a node told the others when its control loop had got to the signal. While no node is ready, the directory names the nodes that were told to stop last; one whose loop was late stood among them, although its grace period ends earlier. Change: StopRequested has the time at which the signal arrived. Evidence: TimeOfTheStopSignalTellsWhichNodesStopLast failed before the change to fleet_cmd.cc and passes, with the other tests of fleet_test.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -175,7 +175,10 @@
 };
 
 /** The process was told to stop. */
-struct StopRequested {};
+struct StopRequested {
+  /** When the signal arrived; empty: now. */
+  std::optional<TimePoint> received = std::nullopt;
+};
 
 /** Periodic timer event, expected every kTickPeriod. */
 struct Tick {
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -467,9 +467,9 @@
             ApplyRolloutStatusWritten(state, written, now, effects);
             ScheduleMessageNow(state, false, now);
           },
-          [&](const StopRequested&) {
+          [&](const StopRequested& stop) {
             if (!state.leaving) {
-              state.leaving_since = now;
+              state.leaving_since = stop.received.value_or(now);
             }
             state.leaving = true;
             state.next_message = now;
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -348,6 +348,21 @@
       << "the other nodes are silent";
 }
 
+// Guards against sending clients to a node that ends before the others: one
+// whose control loop got late to its stop signal counted as told to stop last.
+TEST_F(FleetTest, TimeOfTheStopSignalTellsWhichNodesStopLast) {
+  this->Configure();
+  auto message = this->Message("10.0.0.2", 1);
+  message.status.ready = false;
+  message.status.leaving = true;
+  message.status.leaving_ms = 1000;
+  message.status.config_revision = 10;
+  this->Apply(PeerMessageReceived{message});
+  this->Apply(StopRequested{this->now - seconds(3)});
+  EXPECT_EQ(LastNodesToStop(this->state, this->now),
+            (std::vector<std::string>{"10.0.0.2"}));
+}
+
 // Guards against returning a node without a configuration to clients.
 TEST_F(FleetTest, StoppingNodeThatCannotServeIsNotReturned) {
   this->Apply(StopRequested{});
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -252,9 +252,9 @@
   this->log->Write(EventLevel::kInfo, "leaving",
                    {{"grace_ms", this->settings.bounds.grace.count()}});
   // Neither loop waits for the other, which may be late.
-  asio::post(this->control_loop, [this] {
+  asio::post(this->control_loop, [this, received] {
     this->control_guard.Call(
-        "stop", [&] { this->control->Handle(fleet::StopRequested{}); });
+        "stop", [&] { this->control->Handle(fleet::StopRequested{received}); });
   });
   this->PostToTraffic("stop", [this, received] {
     if (!this->shutdown_started) {
