Take streams in a planned stop by their deadline alone

Cause: while no other node was known to be ready, a stopping node took a stream if the durations of earlier ones fitted into the rest of its grace period. Change: a stream is taken only if its deadline is before the end of the node. Requests of other kinds keep the expected duration, since they are answered 504 at the end. Whether this is what the users saw is not shown; the record has no line that could tell.

--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -177,11 +177,9 @@
    * add themselves again. */
   void StartWaitingRequests();
 
-  /** Upper estimate of the time a request on @p route takes; empty if unknown.
-   */
-  std::optional<Duration> ExpectedDuration(
-      const serving::Route& route,
-      const serving::RequestFacts& facts) const;
+  /** Upper estimate of the time that a request on @p route takes, which is no
+   * stream; empty if unknown. */
+  std::optional<Duration> ExpectedDuration(const serving::Route& route) const;
 
   /** Applies the learned speeds to the servers of the pool, and logs servers
    * that became slow or normal. */
@@ -204,9 +202,7 @@
   bool shutting_down = false;
   std::optional<TimePoint> shutdown_at;  ///< Set during a planned stop.
   std::map<std::string, serving::DurationEstimate>
-      route_durations;  ///< By route, without streams.
-  std::map<std::string, serving::StreamDurationEstimate>
-      stream_durations;      ///< By route.
+      route_durations;       ///< By route, without streams.
   uint32_t ready_nodes = 0;  ///< Other nodes that accept requests.
   uint32_t nodes = 1;
   std::map<std::string, serving::PrefillSpeedEstimate>
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -188,12 +188,16 @@
     return true;
   }
   const TimePoint now = BootClock::now();
-  // A stream that has begun can't be answered otherwise at the end of the node.
   const bool others_ready = this->core.ready_nodes > 0;
-  const serving::StopFacts facts{
-      *this->core.shutdown_at - now, this->Deadline() - now,
-      this->core.ExpectedDuration(*this->route, this->request.facts),
-      this->IsStream() && others_ready};
+  serving::StopFacts facts;
+  facts.left = *this->core.shutdown_at - now;
+  facts.limit = this->Deadline() - now;
+  if (this->IsStream()) {
+    // Once it has begun, it can't be answered otherwise at the node's end.
+    facts.must_be_certain = true;
+  } else {
+    facts.expected = this->core.ExpectedDuration(*this->route);
+  }
   const bool taken = serving::EndsBeforeStop(facts);
   this->core.log.Write(
       EventLevel::kInfo, taken ? "taken_in_stop" : "outlasts_stop",
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -94,11 +94,7 @@
   const auto self = this->shared_from_this();
   const TimePoint now = BootClock::now();
   const bool served = outcome == "served";
-  if (served && this->IsStream()) {
-    this->core.stream_durations[this->route->name].Add(
-        {this->first_event_at - this->arrived, now - this->first_event_at,
-         this->events, this->request.facts.max_output_tokens});
-  } else if (served) {
+  if (served && !this->IsStream()) {
     this->core.route_durations[this->route->name].Add(now - this->arrived);
   }
   std::string server_id;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -107,13 +107,11 @@
     std::shared_ptr<const serving::ServingConfig> next) {
   this->config = std::move(next);
   this->quotas.Configure(*this->config, BootClock::now());
-  const auto removed = [&](const auto& known) {
+  std::erase_if(this->route_durations, [&](const auto& known) {
     return std::ranges::none_of(this->config->routes, [&](const auto& route) {
       return route.name == known.first;
     });
-  };
-  std::erase_if(this->route_durations, removed);
-  std::erase_if(this->stream_durations, removed);
+  });
   this->StartWaitingRequests();
 }
 
@@ -333,14 +331,7 @@
 }
 
 std::optional<Duration> TrafficCore::ExpectedDuration(
-    const serving::Route& route,
-    const serving::RequestFacts& facts) const {
-  if (route.kind == serving::RouteKind::kStream) {
-    const auto found = this->stream_durations.find(route.name);
-    return found == this->stream_durations.end()
-               ? std::nullopt
-               : found->second.Bound(facts.max_output_tokens);
-  }
+    const serving::Route& route) const {
   const auto found = this->route_durations.find(route.name);
   return found == this->route_durations.end() ? route.goal
                                               : found->second.Bound();
