Share the client, checks and command line of the node soak

Change: soak_lib has what both soaks use. A client takes the traits of each request (deadline, token counts, expected events) from a function and records requests whose connection ended before their response was complete. A node that SIGTERM ends before it logs its start has not exited abnormally: it does not accept requests yet. No check of node_soak is changed.

--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -7,7 +7,9 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <ios>
 #include <string>
+#include <vector>
 
 #include "base/endpoint_type.h"
 
@@ -51,18 +53,29 @@
 
   /**
    * Whether it ever ended other than with exit code 0 or by SIGKILL, as seen by
-   * IsRunning().
+   * IsRunning(). A SIGTERM also ends it normally before it logs its start: it
+   * does not handle signals yet, nor accept requests.
    */
   bool ExitedAbnormally() const { return this->exited_abnormally; }
 
+  /** @return Lines of the logs of all its processes that contain @p text. */
+  std::vector<std::string> LogLinesWith(const std::string& text) const;
+
   const std::string& Ip() const { return this->ip; }
 
  private:
+  std::string LogPath() const {
+    return this->directory + "/" + this->ip + ".log";
+  }
+  /** Whether the last process has logged its start. */
+  bool HasLoggedStart() const;
+
   std::string program;
   std::string directory;
   std::string ip;
   RunAddresses addresses;
   pid_t pid = 0;
+  std::streamoff log_start = 0;  ///< Size of the log when it started.
   bool exited_abnormally = false;
 };
 
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,27 @@
 
 namespace boragewharf::soak {
 
+/** Number of events in a stream unless its request has other traits. */
+inline constexpr uint32_t kStreamEvents = 12;
+
+/** What distinguishes a request from others of the same path. */
+struct RequestTraits {
+  std::chrono::milliseconds deadline{5000};
+  std::string token_counts;  ///< Value of Boragewharf-Token-Counts, or empty.
+  uint32_t stream_events = kStreamEvents;  ///< Expected if it is a stream.
+};
+
+/** A request whose connection ended before its response was complete. */
+struct InterruptedRequest {
+  std::string id;
+  std::string path;
+  std::string node_ip;
+  bool answer_begun = false;  ///< Whether a byte of the response arrived.
+  std::chrono::milliseconds elapsed{0};  ///< From the send to the end.
+  std::chrono::milliseconds deadline{0};
+  int64_t ended_wall_ms = 0;  ///< In Unix time, as in the nodes' logs.
+};
+
 /** Results of all requests of a run. */
 struct RunRecord {
   std::vector<std::string>
@@ -30,6 +52,10 @@
       reported_not_run;  ///< Attempt ids of rejected requests, with status.
   std::map<std::string, std::string>
       non_idempotent;  ///< Attempt ids of order requests; the values are empty.
+  std::vector<InterruptedRequest> interrupted;
+  uint32_t connect_failures = 0;
+  uint32_t timeouts = 0;  ///< Requests without a complete response one second
+                          ///< after their deadline.
 };
 
 /**
@@ -47,6 +73,14 @@
              std::function<boost::asio::ip::tcp::endpoint()> pick_node,
              RunRecord& record);
 
+  using ChooseTraits = std::function<RequestTraits(const std::string&)>;
+
+  /** Sets a function that returns the traits of each request by its id;
+   * otherwise, all have the default traits. */
+  void SetTraits(ChooseTraits choose) {
+    this->choose_traits = std::move(choose);
+  }
+
   /** Starts sending @p count requests, or an unlimited number if it is 0. */
   void Start(uint32_t count);
 
@@ -65,12 +99,15 @@
   void OnRead(const boost::system::error_code& error, size_t size);
   void CheckResponse();
   void FinishRequest(bool complete);
+  /** Records that the connection ended, then finishes the request. */
+  void FinishInterruptedRequest();
 
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
   std::string name;
   std::mt19937_64 generator;
   std::function<boost::asio::ip::tcp::endpoint()> choose_node;
+  ChooseTraits choose_traits;
   RunRecord& record;
   std::array<char, 8192> read_buffer{};
   std::string input;
@@ -78,6 +115,10 @@
   std::string body;
   std::string id;
   std::string path;
+  RequestTraits traits;
+  std::string node_ip;
+  std::chrono::steady_clock::time_point sent_at;
+  bool answer_begun = false;
   std::unique_ptr<httpio::ResponseParser> parser;
   uint64_t request_number = 0;
   uint32_t remaining_requests = 0;
