Add a soak of planned stops that excuses no lost request

Change: stop_soak runs three nodes under load; the only disturbances are SIGTERM (one, some or all nodes, in series, repeated, soon after a restart), SIGHUP, new configurations and other response times, drawn by the seed. A response that ends incomplete before its deadline, a request that ran and whose connection closes without an answer, and a node that runs after its grace period are violations, beside those of node_soak. Answers 504 before the deadline are only counted.

--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -19,6 +19,7 @@
 struct RunAddresses {
   Endpoint store;
   Endpoint cloud;
+  std::string first_node_ip = "127.0.10.1";
   uint16_t client_port = 0;
   uint16_t ready_port = 0;
   uint16_t control_port = 0;
--- a/tests/soak/soak_client.cc
+++ b/tests/soak/soak_client.cc
@@ -176,6 +176,10 @@
   if (status == 429 || status == 503) {
     this->record.reported_not_run[this->id] = std::to_string(status);
   }
+  const auto elapsed = std::chrono::steady_clock::now() - this->sent_at;
+  if (status == 504 && elapsed < this->traits.deadline) {
+    this->record.early_timeouts += 1;
+  }
   if (status != 200) {
     return;
   }
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -53,6 +53,7 @@
   std::map<std::string, std::string>
       non_idempotent;  ///< Attempt ids of order requests; the values are empty.
   std::vector<InterruptedRequest> interrupted;
+  uint32_t early_timeouts = 0;  ///< Answers 504 before the deadline.
   uint32_t connect_failures = 0;
   uint32_t timeouts = 0;  ///< Requests without a complete response one second
                           ///< after their deadline.
