Leave calls that may outlast a stopping node to the nodes that are ready

An order may have run then. Without another ready node calls are still taken on their expected duration. Evidence: CallThatMayOutlastTheNodeIsLeftToAnotherNode failed before (the order ran and got 504) and passes, with the other 26 RelayTest cases.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -192,12 +192,12 @@
   serving::StopFacts facts;
   facts.left = *this->core.shutdown_at - now;
   facts.limit = this->Deadline() - now;
-  if (this->IsStream()) {
-    // Once it has begun, it can't be answered otherwise at the node's end.
-    facts.must_be_certain = true;
-  } else {
+  if (!this->IsStream()) {
     facts.expected = this->core.ExpectedDuration(*this->route);
   }
+  // A stream that has begun can't be answered otherwise at the node's end, and
+  // another ready node can take any request at once.
+  facts.must_be_certain = this->IsStream() || others_ready;
   const bool taken = serving::EndsBeforeStop(facts);
   this->core.log.Write(
       EventLevel::kInfo, taken ? "taken_in_stop" : "outlasts_stop",
