--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -59,6 +59,8 @@
   TimePoint cold_until;           ///< Warms up until then.
   /** Until then the server wants no requests from this node. */
   TimePoint no_requests_until;
+  /** In the last answer; see serving::ResponseFacts. */
+  std::optional<double> limit_per_second;
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   /** By prefix hash, when any node last sent a request with it here. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -168,6 +168,7 @@
   if (from_other_server) {
     return false;
   }
+  pooled.limit_per_second = facts.limit_per_second;
   if (facts.retry_after) {
     pooled.no_requests_until =
         std::max(pooled.no_requests_until, now + *facts.retry_after);
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -196,7 +196,14 @@
                                const serving::ResponseFacts& facts,
                                TimePoint now) {
   const bool waits = facts.retry_after && now >= pooled.no_requests_until;
+  const std::optional<double> known_limit = pooled.limit_per_second;
   const bool leaves = this->pool.RecordAnswer(pooled, facts, now);
+  if (pooled.limit_per_second != known_limit) {
+    this->log.Write(EventLevel::kInfo, "server_limit",
+                    {{"server", pooled.server.id},
+                     {"per_second", pooled.limit_per_second.value_or(-1)},
+                     {"running", pooled.own_load.running}});
+  }
   if (waits) {
     this->log.Write(
         EventLevel::kInfo, "server_wants_no_requests",
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -112,6 +112,9 @@
   bool event_stream = false;  ///< The body is an event stream.
   bool close = false;         ///< The server closes the connection.
   bool leaving = false;       ///< The server is about to stop.
+  /** Requests per second that the server takes from all nodes together; empty
+   * if it names no limit. */
+  std::optional<double> limit_per_second;
   /** Time for which the server wants no requests from this node. */
   std::optional<Milliseconds> retry_after;
   std::optional<double> keep_alive;    ///< Idle timeout in seconds.
