Keep the requests of all nodes below the limit that a server names

Each node went on to send the server its share of the load. Class: a statement of a server that reaches the node but has no effect on the choice of servers, as Server-Leaving and Retry-After before. Change: ServerRateLimits divides each limit among as many nodes as get about one request a second, by rendezvous hashing over the ready nodes. A node sends to a server only within its share; all requests count, also repeated and moved ones, moves and reports. Nodes tell each other what they read, in an extension of the message that earlier versions ignore. A later answer without the limit ends it. If all servers of a service are at their limit, requests are refused at once with the time until the next one.

--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -378,7 +378,11 @@
     }
   }
   summary.silent_share = static_cast<double>(silent) / summary.nodes;
-  summary.ready_nodes = static_cast<uint32_t>(this->Ready(period, now).size());
+  for (const PeerEntry* entry : this->Ready(period, now)) {
+    summary.ready_ips.push_back(serving::PackIp(entry->status.ip));
+  }
+  summary.ready_nodes = static_cast<uint32_t>(summary.ready_ips.size());
+  summary.own_ip = serving::PackIp(this->self_ip);
   // A node that has just started knows more addresses than it has received
   // messages from.
   summary.nodes =
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -19,6 +19,7 @@
 #include "serving/request_type.h"
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
+#include "serving/server_rate_limits_base.h"
 #include "serving/server_type.h"
 
 namespace boragewharf::relay {
@@ -59,8 +60,6 @@
   TimePoint cold_until;           ///< Warms up until then.
   /** Until then the server wants no requests from this node. */
   TimePoint no_requests_until;
-  /** In the last answer; see serving::ResponseFacts. */
-  std::optional<double> limit_per_second;
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   /** By prefix hash, when any node last sent a request with it here. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
@@ -112,7 +111,8 @@
   /** Server by id, or nullptr. */
   std::shared_ptr<PooledServer> Find(std::string_view id) const;
 
-  /** Servers of a service that accept new requests, except @p excluded. */
+  /** Servers of a service to which this node may send a request now, except
+   * @p excluded. */
   std::vector<std::shared_ptr<PooledServer>> Candidates(
       std::string_view service,
       const std::vector<std::string>& excluded,
@@ -135,12 +135,22 @@
 
   /**
    * Records what a server says of itself in the head of any answer.
+   * @param sent When the request was sent.
    * @return Whether it says for the first time that it is leaving.
    */
   bool RecordAnswer(PooledServer& server,
                     const serving::ResponseFacts& facts,
+                    TimePoint sent,
                     TimePoint now);
 
+  /** Counts a request of any kind that is sent to a server. */
+  void CountRequest(const PooledServer& server, TimePoint now) {
+    this->rate_limits.CountRequest(LifetimeOf(server), now);
+  }
+
+  /** Limits that servers have named, as known to this node and to others. */
+  serving::ServerRateLimits& RateLimits() { return this->rate_limits; }
+
   /** Servers that are leaving, as known to this node and to others. */
   serving::LeavingServers& Leaving() { return this->leaving; }
 
@@ -209,6 +219,7 @@
   std::unordered_map<serving::NameHash, PooledServer*> by_hash;
   std::deque<serving::PrefixSend> own_prefixes;
   serving::LeavingServers leaving;
+  serving::ServerRateLimits rate_limits;
   std::vector<CrashSuspect> crash_suspects;
   rollout::RolloutAgent* rollout_agent = nullptr;
   TimePoint peer_loads_at;
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -148,9 +148,11 @@
   void RequestReport(const std::shared_ptr<PooledServer>& server,
                      TimePoint now);
 
-  /** Records what a server says of itself in the head of an answer. */
+  /** Records what a server says of itself in the head of an answer.
+   * @param sent When the request was sent. */
   void RecordAnswer(PooledServer& server,
                     const serving::ResponseFacts& facts,
+                    TimePoint sent,
                     TimePoint now);
 
   /** Asks servers that have been leaving for long, but are still listed as
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -336,6 +336,7 @@
         this->choice_inputs.read_tokens;
     fields.copy_from = this->choice_inputs.copy_from;
   }
+  this->core.pool.CountRequest(*server, now);
   server->own_load.running += 1;
   server->own_load.prefill_tokens += next.prefill_tokens;
   this->core.demand[this->service_name].running += 1;
@@ -400,7 +401,7 @@
     return false;
   }
   this->attempt->last_progress = BootClock::now();
-  this->core.RecordAnswer(*this->attempt->server, facts,
+  this->core.RecordAnswer(*this->attempt->server, facts, this->attempt->started,
                           this->attempt->last_progress);
   if (facts.keep_alive) {
     this->attempt->connection->SetKeepAlive(
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -136,6 +136,7 @@
                core.codec.DecodeMoveResponse(result.head->status, result.body));
     }
   };
+  this->core.pool.CountRequest(*this->attempt->server, BootClock::now());
   this->core.pool.CallChannel(*this->attempt->server)
       .Call(std::move(call), on_response);
 }
@@ -153,6 +154,7 @@
   call.method = std::move(encoded->method);
   call.target = std::move(encoded->target);
   call.timeout = kFreeCopyTimeout;
+  core.pool.CountRequest(target, BootClock::now());
   core.pool.CallChannel(target).Call(
       std::move(call), [&core, id = target.server.id, handle = answer.handle](
                            const httpio::HttpResult& result) {
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -148,6 +148,7 @@
     present.insert(LifetimeOf(*pooled));
   }
   this->leaving.Retain(present);
+  this->rate_limits.Retain(present);
 }
 
 serving::ServerLifetime ServerPool::LifetimeOf(const PooledServer& pooled) {
@@ -160,6 +161,7 @@
 
 bool ServerPool::RecordAnswer(PooledServer& pooled,
                               const serving::ResponseFacts& facts,
+                              TimePoint sent,
                               TimePoint now) {
   constexpr uint32_t kStatusOtherServer = 421;
   const bool from_other_server =
@@ -168,7 +170,8 @@
   if (from_other_server) {
     return false;
   }
-  pooled.limit_per_second = facts.limit_per_second;
+  this->rate_limits.RecordAnswer(LifetimeOf(pooled), facts.limit_per_second,
+                                 sent, now);
   if (facts.retry_after) {
     pooled.no_requests_until =
         std::max(pooled.no_requests_until, now + *facts.retry_after);
@@ -183,7 +186,13 @@
     if (pooled->server.service != service || this->IsStopping(*pooled)) {
       continue;
     }
-    const Duration left = pooled->no_requests_until - now;
+    const auto limited =
+        this->rate_limits.TimeUntilAllowed(LifetimeOf(*pooled), now);
+    if (!limited) {
+      continue;
+    }
+    const Duration left =
+        std::max<Duration>(pooled->no_requests_until - now, *limited);
     if (left <= Duration::zero()) {
       return std::nullopt;
     }
@@ -238,7 +247,8 @@
   std::vector<std::shared_ptr<PooledServer>> found;
   for (const auto& [id, pooled] : this->servers) {
     if (pooled->server.service != service || this->IsStopping(*pooled) ||
-        now < pooled->no_requests_until) {
+        now < pooled->no_requests_until ||
+        !this->rate_limits.Allows(LifetimeOf(*pooled), now)) {
       continue;
     }
     if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -86,7 +86,7 @@
       engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
       observers{&this->server_speeds},
-      shared_states{&this->server_speeds},
+      shared_states{&this->server_speeds, &this->pool.RateLimits()},
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {
   if (limits.rollout) {
@@ -169,7 +169,7 @@
     }
     const serving::ResponseFacts facts =
         this->codec.DecodeResponse(*result.head);
-    this->pool.RecordAnswer(*pooled, facts, BootClock::now());
+    this->pool.RecordAnswer(*pooled, facts, *result.sent_at, BootClock::now());
     if (facts.status != 200) {
       return;
     }
@@ -189,19 +189,23 @@
          {"leaving", facts.leaving},
          {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
   };
+  this->pool.CountRequest(*pooled, now);
   this->pool.CallChannel(*pooled).Call(std::move(call), on_report);
 }
 
 void TrafficCore::RecordAnswer(PooledServer& pooled,
                                const serving::ResponseFacts& facts,
+                               TimePoint sent,
                                TimePoint now) {
   const bool waits = facts.retry_after && now >= pooled.no_requests_until;
-  const std::optional<double> known_limit = pooled.limit_per_second;
-  const bool leaves = this->pool.RecordAnswer(pooled, facts, now);
-  if (pooled.limit_per_second != known_limit) {
+  const serving::ServerLifetime lifetime = ServerPool::LifetimeOf(pooled);
+  const auto known_limit = this->pool.RateLimits().LimitOf(lifetime, now);
+  const bool leaves = this->pool.RecordAnswer(pooled, facts, sent, now);
+  const auto limit = this->pool.RateLimits().LimitOf(lifetime, now);
+  if (limit != known_limit) {
     this->log.Write(EventLevel::kInfo, "server_limit",
                     {{"server", pooled.server.id},
-                     {"per_second", pooled.limit_per_second.value_or(-1)},
+                     {"per_second", limit.value_or(-1)},
                      {"running", pooled.own_load.running}});
   }
   if (waits) {
@@ -307,6 +311,8 @@
            {"long_above_tokens", static_cast<int64_t>(summary.cut_tokens)}});
     }
   }
+  this->counters.Get("limit_reports_invalid", {}, MetricKind::kGauge)
+      .Set(static_cast<int64_t>(this->pool.RateLimits().InvalidReports()));
   this->counters.Get("speed_reports_invalid", {}, MetricKind::kGauge)
       .Set(static_cast<int64_t>(this->server_speeds.InvalidReports()));
 }
--- a/packages/serving/include/serving/peer_extension_type.h
+++ b/packages/serving/include/serving/peer_extension_type.h
@@ -21,6 +21,7 @@
   kRolloutState = 3,     ///< The duty holder's decision on a roll-out.
   kRolloutEvidence = 4,  ///< Results of the versions of a service.
   kForwarding = 5,       ///< One byte of ForwardingFlag.
+  kServerLimits = 6,     ///< Limits that servers have named.
 };
 
 /** Bits of the payload of kForwarding. A node that sends this extension
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -180,11 +180,13 @@
 
 /** Data of the other nodes that request handling needs. */
 struct PeerSummary {
-  bool informed = false;       ///< All known nodes have reported.
-  uint32_t nodes = 1;          ///< Known nodes, this one included.
-  uint32_t ready_nodes = 0;    ///< Other nodes that accept requests.
-  double silent_share = 0;     ///< Share of nodes that may be unreachable.
-  int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
+  bool informed = false;            ///< All known nodes have reported.
+  uint32_t nodes = 1;               ///< Known nodes, this one included.
+  uint32_t ready_nodes = 0;         ///< Other nodes that accept requests.
+  uint32_t own_ip = 0;              ///< PackIp() of this node.
+  std::vector<uint32_t> ready_ips;  ///< PackIp() of those nodes.
+  double silent_share = 0;          ///< Share of nodes that may be unreachable.
+  int64_t wall_offset_ms = 0;       ///< Time of day minus the boot clock.
   /** Quota units admitted by other nodes since the last summary, by customer;
    * negative to correct an earlier estimate that was too high. */
   std::map<NameHash, double> admitted;
