Give up a silent server only if its retry is allowed

Callers would see: a stream whose server sent nothing for longer than the silence timeout was cut off, although the server still worked on it, when the retry budget was used up. Cause: CheckSilence() asked whether another server exists, then failed the attempt, which closes its connection. Only after that did TryServer() ask the retry budget, and AfterFailure() whether the request crashes servers. Evidence: SilentStreamGoesOnWithoutRetryBudget (budget 0, two servers, gaps of 1.3 s, silence timeout 1 s) fails on the code before: the response ends after the first event. Why it works: TakeResend() checks all conditions of the repeat and takes it from the budget before the attempt is given up. Attempt::retry_taken keeps AfterFailure() from taking it again; SilentServerIsLeftWithTheLastRetryOfTheBudget guards that (passes before and after). The choice is made without changing the inputs that the log reports for the running attempt.

--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -394,18 +394,24 @@
       !this->MayResend(now)) {
     return;
   }
-  // Give up the attempt only if another server is available; otherwise waiting
-  // may still succeed.
-  const std::shared_ptr<PooledServer> other = [&] {
-    this->excluded_servers.push_back(this->attempt->server->server.id);
-    auto chosen = this->ChooseServer();
-    this->excluded_servers.pop_back();
-    return chosen;
-  }();
-  if (!other) {
-    return;
+  // Otherwise waiting may still succeed.
+  if (this->TakeResend(now)) {
+    this->attempt->retry_taken = true;
+    this->FailAttempt(AttemptFailure::kTimedOut);
+  }
+}
+
+bool Exchange::TakeResend(TimePoint now) {
+  if (this->CrashesServers(now)) {
+    return false;
   }
-  this->FailAttempt(AttemptFailure::kTimedOut);
+  this->excluded_servers.push_back(this->attempt->server->server.id);
+  const bool other_server = this->ChooseServer() != nullptr;
+  this->excluded_servers.pop_back();
+  // The choice is made again when the request is sent.
+  this->choice_inputs = this->attempt->inputs;
+  return other_server &&
+         this->core.budget.TakeRetry(this->service_name, this->core.nodes, now);
 }
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -485,8 +485,10 @@
     }
     std::optional<Attempt> failed = std::exchange(this->attempt, std::nullopt);
     const std::string body_of_failed = this->buffered;
-    const bool resent = !this->CrashesServers(now) &&
-                        this->TryServer(this->sends > 0 && !unreached);
+    const bool uses_retry_budget =
+        this->sends > 0 && !unreached && !failed->retry_taken;
+    const bool resent =
+        !this->CrashesServers(now) && this->TryServer(uses_retry_budget);
     std::optional<Attempt> next =
         std::exchange(this->attempt, std::move(failed));
     if (resent) {
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -142,6 +142,8 @@
     TimePoint last_progress;  ///< When the request was sent, or the last useful
                               ///< response data arrived.
     bool sent = false;
+    bool retry_taken = false;  ///< The retry budget has been charged for the
+                               ///< attempt that follows.
     bool completed = false;    ///< The response is complete.
     bool first_event = false;  ///< At least one event has arrived.
     bool resumes = false;      ///< Continues a stream; little of the prompt is
@@ -215,6 +217,9 @@
   bool IsStream() const;
   Duration SilenceTimeout() const;
   void CheckSilence(TimePoint now);
+  /** Takes a retry from the budget if a running attempt can be replaced by one
+   * at another server; returns whether it was taken. */
+  bool TakeResend(TimePoint now);
   void CheckTimeout(TimePoint now);
   bool MayResend(TimePoint now);
   void CheckServerStop(TimePoint now);
