Do not count a paused server as silent

Callers would see: a resumable stream whose client reads slowly for longer than the silence timeout was taken from its healthy server and run a second time, and may be cut off if that fails. Cause: above 256 KiB of pending bytes, reading from the server is paused. No event arrives then, so that last_progress stands still and CheckSilence() gives the attempt up. Why it works: while reading is paused, last_progress is moved along, so that the silence of the server counts from when it is read again.

--- a/packages/relay/include/relay/upstream_connection_base.h
+++ b/packages/relay/include/relay/upstream_connection_base.h
@@ -75,6 +75,9 @@
   /** Pauses or resumes reading, for backpressure. */
   void SetPaused(bool pause);
 
+  /** Whether reading is paused. */
+  bool Paused() const { return this->paused; }
+
   /** Whether another request may be sent on this connection. */
   bool Reusable() const;
 
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -389,6 +389,11 @@
     }
     return;
   }
+  if (this->attempt->connection->Paused()) {
+    // Nothing is read from the server, so it can't be found silent.
+    this->attempt->last_progress = now;
+    return;
+  }
   if (this->attempt->move.step == MoveStep::kStopping ||
       now - this->attempt->last_progress < this->SilenceTimeout() ||
       !this->MayResend(now)) {
