End the process only after its traffic loop has run

Callers would see: a request that arrived as the node exited got no answer if the traffic loop was blocked or starved meanwhile. Cause: the exit ends once kFinalAnswerTime has passed. If the loop was blocked for all of it, the first tick after BeginExit() ended the process before the requests that wait in the sockets were read and refused. Why it works: besides the time, at least two ticks after that of BeginExit() are counted. Between them the loop runs for a tick's period.

--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -96,6 +96,7 @@
   /** When the stop signal arrived. Traffic loop only. */
   std::optional<TimePoint> shutdown_started;
   std::optional<TimePoint> exit_started;  ///< Traffic loop only.
+  uint32_t exit_ticks = 0;                ///< Ticks since then.
   SignalReceiver signals;                 ///< Uses the other members.
 };
 
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -41,6 +41,10 @@
 constexpr std::chrono::milliseconds kFinalAnswerTime =
     2 * relay::TrafficCore::kTickPeriod;
 
+/** Ticks between the start of the exit and its end. With one, a loop that was
+ * blocked all the time would not have read the requests that wait for it. */
+constexpr uint32_t kMinExitTicks = 2;
+
 /** Time between the exit of the process and the end of the grace period. */
 Duration ExitMargin(Duration grace) {
   return std::clamp<Duration>(grace / kExitMarginDivisor, kFinalAnswerTime,
@@ -309,13 +313,16 @@
                        this->client_listener->BusyConnections() == 0) &&
                       elapsed > std::chrono::duration_cast<Duration>(
                                     grace * kMinServingShare);
-    if (!this->exit_started && (idle || elapsed > grace - ExitMargin(grace))) {
+    if (this->exit_started) {
+      this->exit_ticks += 1;
+    } else if (idle || elapsed > grace - ExitMargin(grace)) {
       this->BeginExit(now);
     }
     const bool closed =
         !this->client_listener || this->client_listener->Connections() == 0;
     if (this->exit_started &&
-        (closed || now - *this->exit_started >= kFinalAnswerTime)) {
+        (closed || (this->exit_ticks >= kMinExitTicks &&
+                    now - *this->exit_started >= kFinalAnswerTime))) {
       this->traffic_guard.Call("traffic_end",
                                [&] { this->traffic->EndRequests(); });
       this->control_loop.stop();
