Accept waiting connections before the listener closes

Callers would see: a connection that was established just before the node's exit was reset, and its request lost without an answer, although the client had sent it. Cause: StopAccepting() closed the acceptor; the kernel then resets what waits in the accept queue. Evidence: StopAcceptingAcceptsWaitingConnections fails on the code before (0 of 2 connections accepted, no request handled) and passes now. A connection whose request has not arrived when the exit begins is still closed as idle.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -194,8 +194,8 @@
    * progress. */
   void CloseIdle();
 
-  /** Closes the listening socket. Open connections go on; those that the
-   * kernel has accepted for this listener are reset. */
+  /** Accepts the connections that the kernel has established already, then
+   * closes the listening socket. Open connections go on. */
   void StopAccepting();
 
   /** Bytes of unfinished requests and unsent responses; see
@@ -212,6 +212,7 @@
  private:
   friend class ServerConnection;
   void Accept();
+  void StartConnection(boost::asio::ip::tcp::socket socket);
   /** Ends connections until the others hold less than the limit. */
   void EnforceBufferLimit();
 
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -417,14 +417,18 @@
         }
         const ScopeGuard accept_next([this] { this->Accept(); });
         if (!error) {
-          auto connection =
-              std::make_shared<ServerConnection>(*this, std::move(socket));
-          this->connections.insert(connection);
-          connection->Start();
+          this->StartConnection(std::move(socket));
         }
       });
 }
 
+void HttpListener::StartConnection(tcp::socket socket) {
+  auto connection =
+      std::make_shared<ServerConnection>(*this, std::move(socket));
+  this->connections.insert(connection);
+  connection->Start();
+}
+
 void HttpListener::CheckTime(TimePoint now) {
   const std::vector<std::shared_ptr<ServerConnection>> all(
       this->connections.begin(), this->connections.end());
@@ -457,8 +461,18 @@
 }
 
 void HttpListener::StopAccepting() {
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
+  // Closing resets the connections that wait in the accept queue, also those
+  // whose request has arrived.
+  boost::system::error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->loop);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->StartConnection(std::move(socket));
+    }
+  }
+  this->acceptor.close(error);
 }
 
 size_t HttpListener::BusyConnections() const {
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -275,6 +275,23 @@
   EXPECT_TRUE(error);
 }
 
+// Guards against resetting connections that wait to be accepted: their requests
+// were lost although the kernel had acknowledged them.
+TEST_F(ConnectionTest, StopAcceptingAcceptsWaitingConnections) {
+  tcp::socket second(this->client_loop);
+  second.connect(
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  asio::write(second,
+              asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_EQ(this->listener.Connections(), 0U);
+  this->listener.StopAccepting();
+  EXPECT_EQ(this->listener.Connections(), 2U);
+  this->RunLoop();
+  EXPECT_EQ(this->handler.requests, 2);
+  EXPECT_NE(this->ReadAll().find("/1"), std::string::npos);
+}
+
 // Guards against the same fault when the idle timeout expires.
 TEST_F(ConnectionTest, IdleTimeoutKeepsConnectionWithUnreadRequest) {
   this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
