Do not accept on a closed listener

Callers would see: slow or missing answers at the end of a node, whose event loop spins. Cause: if an accept had completed and its handler was still queued when StopAccepting() closed the acceptor, the handler started another accept. That failed at once with bad_descriptor, which is not operation_aborted, and its handler started the next one. Evidence: AcceptCompletedBeforeStopAcceptingIsTheLast fails on the code before (116509 handlers in 50 ms) and passes now. Why it works: Accept() does nothing once the acceptor is closed; the connection that was accepted is kept.

--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -410,6 +410,9 @@
 }
 
 void HttpListener::Accept() {
+  if (!this->acceptor.is_open()) {
+    return;  // Closed while the handler of the last accept was queued.
+  }
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -292,6 +292,23 @@
   EXPECT_NE(this->ReadAll().find("/1"), std::string::npos);
 }
 
+// Guards against an event loop that is kept busy by a closed listener: an
+// accept that had completed before was followed by another one, which failed
+// at once, and so on.
+TEST_F(ConnectionTest, AcceptCompletedBeforeStopAcceptingIsTheLast) {
+  constexpr size_t kMaxHandlers = 100;
+  tcp::socket second(this->client_loop);
+  second.connect(
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  for (int i = 0; i < 100 && this->listener.Connections() == 0; ++i) {
+    this->loop.poll_one();
+  }
+  ASSERT_EQ(this->listener.Connections(), 1U);
+  this->listener.StopAccepting();
+  EXPECT_LT(this->loop.run_for(milliseconds(50)), kMaxHandlers);
+  EXPECT_EQ(this->listener.Connections(), 2U);
+}
+
 // Guards against the same fault when the idle timeout expires.
 TEST_F(ConnectionTest, IdleTimeoutKeepsConnectionWithUnreadRequest) {
   this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
