Log the requests in progress before the exit ends them

Operators would see: the "stop" line always had in_progress 0, also if requests were cut off. Cause: the line is written after EndRequests(), which ends all of them. Evidence: LogTellsHowManyRequestsTheStopCutsOff fails on the code before (0 instead of 1) and passes now. Why it works: the number is kept before EndRequests() is called, and read after the traffic thread has ended.

--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -97,6 +97,7 @@
   std::optional<TimePoint> shutdown_started;
   std::optional<TimePoint> exit_started;  ///< Traffic loop only.
   uint32_t exit_ticks = 0;                ///< Ticks since then.
+  size_t in_progress_at_end = 0;          ///< Requests that the exit ended.
   SignalReceiver signals;                 ///< Uses the other members.
 };
 
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -133,7 +133,7 @@
   this->traffic_loop.stop();
   traffic_thread.join();
   this->log->Write(EventLevel::kInfo, "stop",
-                   {{"in_progress", this->traffic->InProgress()}});
+                   {{"in_progress", this->in_progress_at_end}});
   return true;
 }
 
@@ -323,6 +323,7 @@
     if (this->exit_started &&
         (closed || (this->exit_ticks >= kMinExitTicks &&
                     now - *this->exit_started >= kFinalAnswerTime))) {
+      this->in_progress_at_end = this->traffic->InProgress();
       this->traffic_guard.Call("traffic_end",
                                [&] { this->traffic->EndRequests(); });
       this->control_loop.stop();
