Receive signals from the start of the node on

Callers would see: requests cut off because a node that was stopped during its start counted its grace period from a later time than its supervisor. Cause: the signal receiver was started after the control state, the listeners and the settings file. An earlier signal was kept, but its time was that of the receiver's start. Evidence: SignalIsReceivedDuringTheStart (the start waits for a settings file that is a pipe) fails on the code before: no "leaving" line within 500 ms. It passes now. Why it works: Run() starts the receiver first. The handlers only post to the loops, which run later.

--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -106,6 +106,11 @@
 
 bool Node::Run() {
   std::signal(SIGPIPE, SIG_IGN);
+  // First, so that the time of a signal during the start is known.
+  this->signals.Start([this](int number, TimePoint received) {
+    this->control_guard.Call("signal",
+                             [&] { this->OnSignal(number, received); });
+  });
   try {
     this->control->Start();
     if (this->settings.clients) {
@@ -121,10 +126,6 @@
                    {{"zone", this->settings.zone},
                     {"first_start", this->settings.first_start}});
   this->last_settings_text = ReadFile(this->settings_path);
-  this->signals.Start([this](int number, TimePoint received) {
-    this->control_guard.Call("signal",
-                             [&] { this->OnSignal(number, received); });
-  });
   this->CheckSettingsFile();
   this->TickTraffic();
   std::thread traffic_thread(
