Do not wait for a configuration in a planned stop

Callers would see: a request to a node that is stopped before it has its first configuration waits up to 400 ms, or until the node's end, instead of getting a 503 with Retry-After at once. Cause: Begin() let requests wait for the first configuration and server list regardless of the stop. Evidence: StoppingNodeDoesNotWaitForAConfiguration fails on the code before (the request is still in progress after 200 ms) and passes now. Why it works: once the node is shutting down, Begin() goes on and the request is refused as not configured; those that wait already are refused by the next tick.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -118,7 +118,8 @@
 }
 
 void Exchange::Begin() {
-  if (!this->core.Ready() && BootClock::now() - this->arrived < kConfigWait) {
+  if (!this->core.Ready() && !this->core.shutting_down &&
+      BootClock::now() - this->arrived < kConfigWait) {
     this->core.waiting_for_config.push_back(this->shared_from_this());
     return;
   }
