Do not answer an ended request again at the end of the node

Callers would see: a second response on the connection, which a client takes for that to its next request. No path to this is known: requests leave the list of those in progress when they end. Cause: EndWithNode() did not check whether the request has ended. Evidence: RequestThatHasEndedIsNotAnsweredAgainByTheEndOfTheNode fails on the code before (two responses) and passes now. Why it works: EndWithNode() returns if the request is done.

--- a/packages/relay/src/exchange_guard.cc
+++ b/packages/relay/src/exchange_guard.cc
@@ -73,6 +73,9 @@
 
 void Exchange::EndWithNode() {
   this->Protect("node_end", [&] {
+    if (this->done) {
+      return;
+    }
     if (this->answer_started) {
       this->AbortClient("cut_off_by_stop");
       return;
