Count partial writes to a client as progress

Callers would see: a client that reads all the time, but needs longer than 10 s for what was queued at once, had its connection closed in the middle of the response. Cause: last_progress was updated only when async_write had written the whole buffer, so the stall timeout ran from the start of the write. The timeout is a field of ConnectionLimits, with 10 s as before, so that the test can use a shorter one. Why it works: the buffer is written by async_write_some until it is empty, and each part counts as progress. The kernel reports that a socket is writable only after a part of its send buffer (up to 4 MB here) is free, so a client that needs longer than the timeout for that part is still closed.

--- a/packages/httpio/include/httpio/server_connection_base.h
+++ b/packages/httpio/include/httpio/server_connection_base.h
@@ -48,6 +48,8 @@
   /** For connections without a request, and for a body that does not go on. A
    * whole request has to arrive within both timeouts together. */
   std::chrono::milliseconds idle_timeout{15000};
+  /** A connection is closed if its client accepts no data for this long. */
+  std::chrono::milliseconds write_stall_timeout{10000};
   /** Bytes of unfinished requests and unsent responses of all connections
    * together, above which the connections that hold the most are ended. */
   size_t max_buffered_bytes = size_t{32} * 1024 * 1024;
@@ -146,7 +148,10 @@
   /** Whether the request that is being read takes too long. */
   bool IsRequestLate(TimePoint now) const;
   void Write();
-  void OnWritten(const boost::system::error_code& error);
+  /** Writes write_buffer from @p offset on. */
+  void WriteRest(size_t offset);
+  /** @param written Bytes of write_buffer that have been written. */
+  void OnWritten(const boost::system::error_code& error, size_t written);
   void Close();
   std::optional<size_t> Peek();
 
--- a/packages/httpio/src/server_connection_base.cc
+++ b/packages/httpio/src/server_connection_base.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 #include <utility>
 #include <vector>
@@ -27,9 +26,6 @@
  * connections. */
 constexpr int kAcceptBacklog = 1024;
 
-/** A connection is closed if the client accepts no data for this long. */
-constexpr std::chrono::seconds kWriteStallTimeout(10);
-
 /** Status for a request that there is no memory for. */
 constexpr uint32_t kStatusOverloaded = 503;
 
@@ -254,13 +250,26 @@
   this->write_buffer.erase(0, sent);
   this->pending_bytes = this->write_buffer.size();
   this->write_active = true;
-  asio::async_write(
-      this->socket, asio::buffer(this->write_buffer),
-      [self = this->shared_from_this()](const boost::system::error_code& failed,
-                                        size_t) { self->OnWritten(failed); });
+  this->WriteRest(0);
+}
+
+void ServerConnection::WriteRest(size_t offset) {
+  this->socket.async_write_some(
+      asio::buffer(this->write_buffer) + offset,
+      [self = this->shared_from_this(), offset](
+          const boost::system::error_code& error, size_t size) {
+        self->OnWritten(error, offset + size);
+      });
 }
 
-void ServerConnection::OnWritten(const boost::system::error_code& error) {
+void ServerConnection::OnWritten(const boost::system::error_code& error,
+                                 size_t written) {
+  if (!error && written < this->write_buffer.size()) {
+    // The client reads, if slowly.
+    this->last_progress = BootClock::now();
+    this->WriteRest(written);
+    return;
+  }
   this->write_active = false;
   this->pending_bytes -=
       std::min(this->pending_bytes, this->write_buffer.size());
@@ -360,7 +369,7 @@
 void ServerConnection::CheckTime(TimePoint now) {
   this->CountBuffered();
   if (this->pending_bytes > 0) {
-    if (now - this->last_progress > kWriteStallTimeout) {
+    if (now - this->last_progress > this->listener.limits.write_stall_timeout) {
       if (this->request_active) {
         this->listener.handler.OnClientDisconnected(*this);
       }
--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -309,6 +309,39 @@
   EXPECT_EQ(this->listener.Connections(), 2U);
 }
 
+// Guards against closing the connection of a client that reads all the time but
+// needs longer than the timeout for what was queued at once.
+TEST_F(ConnectionTest, SlowButSteadyReaderGetsItsWholeResponse) {
+  constexpr size_t kResponseBytes = 24000000;
+  constexpr size_t kBytesPerRead = 1000000;
+  ConnectionLimits limits;
+  limits.write_stall_timeout = milliseconds(1000);
+  this->listener.SetLimits(limits);
+  this->Write("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunLoop();
+  ASSERT_NE(this->handler.pending_connection, nullptr);
+  this->handler.pending_connection->Send(std::string(kResponseBytes, 'r'));
+  std::vector<char> bytes(kBytesPerRead);
+  this->client.non_blocking(true);
+  boost::system::error_code error;
+  size_t received = 0;
+  for (int i = 0; i < 100 && received < kResponseBytes; ++i) {
+    size_t size = 0;
+    for (size_t left = kBytesPerRead; left > 0 && !error; left -= size) {
+      size = this->client.read_some(asio::buffer(bytes.data(), left), error);
+      received += size;
+    }
+    if (error != asio::error::would_block && error) {
+      break;
+    }
+    error = {};
+    this->loop.run_for(milliseconds(100));
+    this->listener.CheckTime(BootClock::now());
+  }
+  EXPECT_EQ(received, kResponseBytes);
+  EXPECT_EQ(this->handler.disconnects, 0);
+}
+
 // Guards against the same fault when the idle timeout expires.
 TEST_F(ConnectionTest, IdleTimeoutKeepsConnectionWithUnreadRequest) {
   this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
