--- a/packages/httpio/tests/httpio_test.cc
+++ b/packages/httpio/tests/httpio_test.cc
@@ -275,6 +275,73 @@
   EXPECT_TRUE(error);
 }
 
+// Guards against resetting connections that wait to be accepted: their requests
+// were lost although the kernel had acknowledged them.
+TEST_F(ConnectionTest, StopAcceptingAcceptsWaitingConnections) {
+  tcp::socket second(this->client_loop);
+  second.connect(
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  asio::write(second,
+              asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_EQ(this->listener.Connections(), 0U);
+  this->listener.StopAccepting();
+  EXPECT_EQ(this->listener.Connections(), 2U);
+  this->RunLoop();
+  EXPECT_EQ(this->handler.requests, 2);
+  EXPECT_NE(this->ReadAll().find("/1"), std::string::npos);
+}
+
+// Guards against an event loop that is kept busy by a closed listener: an
+// accept that had completed before was followed by another one, which failed
+// at once, and so on.
+TEST_F(ConnectionTest, AcceptCompletedBeforeStopAcceptingIsTheLast) {
+  constexpr size_t kMaxHandlers = 100;
+  tcp::socket second(this->client_loop);
+  second.connect(
+      tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->port));
+  for (int i = 0; i < 100 && this->listener.Connections() == 0; ++i) {
+    this->loop.poll_one();
+  }
+  ASSERT_EQ(this->listener.Connections(), 1U);
+  this->listener.StopAccepting();
+  EXPECT_LT(this->loop.run_for(milliseconds(50)), kMaxHandlers);
+  EXPECT_EQ(this->listener.Connections(), 2U);
+}
+
+// Guards against closing the connection of a client that reads all the time but
+// needs longer than the timeout for what was queued at once.
+TEST_F(ConnectionTest, SlowButSteadyReaderGetsItsWholeResponse) {
+  constexpr size_t kResponseBytes = 24000000;
+  constexpr size_t kBytesPerRead = 1000000;
+  ConnectionLimits limits;
+  limits.write_stall_timeout = milliseconds(1000);
+  this->listener.SetLimits(limits);
+  this->Write("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+  this->RunLoop();
+  ASSERT_NE(this->handler.pending_connection, nullptr);
+  this->handler.pending_connection->Send(std::string(kResponseBytes, 'r'));
+  std::vector<char> bytes(kBytesPerRead);
+  this->client.non_blocking(true);
+  boost::system::error_code error;
+  size_t received = 0;
+  for (int i = 0; i < 100 && received < kResponseBytes; ++i) {
+    size_t size = 0;
+    for (size_t left = kBytesPerRead; left > 0 && !error; left -= size) {
+      size = this->client.read_some(asio::buffer(bytes.data(), left), error);
+      received += size;
+    }
+    if (error != asio::error::would_block && error) {
+      break;
+    }
+    error = {};
+    this->loop.run_for(milliseconds(100));
+    this->listener.CheckTime(BootClock::now());
+  }
+  EXPECT_EQ(received, kResponseBytes);
+  EXPECT_EQ(this->handler.disconnects, 0);
+}
+
 // Guards against the same fault when the idle timeout expires.
 TEST_F(ConnectionTest, IdleTimeoutKeepsConnectionWithUnreadRequest) {
   this->Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -41,6 +41,10 @@
 constexpr std::chrono::milliseconds kFinalAnswerTime =
     2 * relay::TrafficCore::kTickPeriod;
 
+/** Ticks between the start of the exit and its end. With one, a loop that was
+ * blocked all the time would not have read the requests that wait for it. */
+constexpr uint32_t kMinExitTicks = 2;
+
 /** Time between the exit of the process and the end of the grace period. */
 Duration ExitMargin(Duration grace) {
   return std::clamp<Duration>(grace / kExitMarginDivisor, kFinalAnswerTime,
@@ -102,6 +106,11 @@
 
 bool Node::Run() {
   std::signal(SIGPIPE, SIG_IGN);
+  // First, so that the time of a signal during the start is known.
+  this->signals.Start([this](int number, TimePoint received) {
+    this->control_guard.Call("signal",
+                             [&] { this->OnSignal(number, received); });
+  });
   try {
     this->control->Start();
     if (this->settings.clients) {
@@ -117,10 +126,6 @@
                    {{"zone", this->settings.zone},
                     {"first_start", this->settings.first_start}});
   this->last_settings_text = ReadFile(this->settings_path);
-  this->signals.Start([this](int number, TimePoint received) {
-    this->control_guard.Call("signal",
-                             [&] { this->OnSignal(number, received); });
-  });
   this->CheckSettingsFile();
   this->TickTraffic();
   std::thread traffic_thread(
@@ -129,7 +134,7 @@
   this->traffic_loop.stop();
   traffic_thread.join();
   this->log->Write(EventLevel::kInfo, "stop",
-                   {{"in_progress", this->traffic->InProgress()}});
+                   {{"in_progress", this->in_progress_at_end}});
   return true;
 }
 
@@ -309,13 +314,17 @@
                        this->client_listener->BusyConnections() == 0) &&
                       elapsed > std::chrono::duration_cast<Duration>(
                                     grace * kMinServingShare);
-    if (!this->exit_started && (idle || elapsed > grace - ExitMargin(grace))) {
+    if (this->exit_started) {
+      this->exit_ticks += 1;
+    } else if (idle || elapsed > grace - ExitMargin(grace)) {
       this->BeginExit(now);
     }
     const bool closed =
         !this->client_listener || this->client_listener->Connections() == 0;
     if (this->exit_started &&
-        (closed || now - *this->exit_started >= kFinalAnswerTime)) {
+        (closed || (this->exit_ticks >= kMinExitTicks &&
+                    now - *this->exit_started >= kFinalAnswerTime))) {
+      this->in_progress_at_end = this->traffic->InProgress();
       this->traffic_guard.Call("traffic_end",
                                [&] { this->traffic->EndRequests(); });
       this->control_loop.stop();
