--- a/packages/fleet/src/peer_table_base.cc
+++ b/packages/fleet/src/peer_table_base.cc
@@ -371,6 +371,7 @@
       silent += entry.status.leaving ? 0 : 1;
       continue;  // Its requests have probably ended, so its load is left out.
     }
+    summary.heard_ips.push_back(serving::PackIp(ip));
     for (const auto& [server, load] : entry.report.loads) {
       serving::ServerLoad& total = summary.loads[server];
       total.running += load.running;
@@ -378,10 +379,7 @@
     }
   }
   summary.silent_share = static_cast<double>(silent) / summary.nodes;
-  for (const PeerEntry* entry : this->Ready(period, now)) {
-    summary.ready_ips.push_back(serving::PackIp(entry->status.ip));
-  }
-  summary.ready_nodes = static_cast<uint32_t>(summary.ready_ips.size());
+  summary.ready_nodes = static_cast<uint32_t>(this->Ready(period, now).size());
   summary.own_ip = serving::PackIp(this->self_ip);
   // A node that has just started knows more addresses than it has received
   // messages from.
--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -118,6 +118,12 @@
       const std::vector<std::string>& excluded,
       TimePoint now) const;
 
+  /** Candidates(), also those that would get more than their limit. */
+  std::vector<std::shared_ptr<PooledServer>> CandidatesBeyondLimits(
+      std::string_view service,
+      const std::vector<std::string>& excluded,
+      TimePoint now) const;
+
   /**
    * Time until the first server of a service accepts requests again.
    * @return Empty if one accepts requests now, or none will.
@@ -205,6 +211,11 @@
   }
 
  private:
+  std::vector<std::shared_ptr<PooledServer>> FindCandidates(
+      std::string_view service,
+      const std::vector<std::string>& excluded,
+      bool within_limits,
+      TimePoint now) const;
   serving::Distance DistanceTo(std::string_view other_zone) const;
   void ConfirmCrash(PooledServer& server, TimePoint now);
   /** Opens a connection to see whether the server still accepts any; a refused
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -159,6 +159,9 @@
    * ready. */
   void CheckLeavingServers(TimePoint now);
 
+  /** Asks servers with a limit that have not answered for a while. */
+  void CheckLimitedServers(TimePoint now);
+
   /** Counts and logs the requests that ran on servers that have crashed. */
   void CountCrashes(TimePoint now);
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -243,8 +243,13 @@
 
 std::shared_ptr<PooledServer> Exchange::ChooseServer() {
   const TimePoint now = BootClock::now();
-  const auto candidates = this->core.pool.Candidates(
-      this->service_name, this->excluded_servers, now);
+  auto candidates = this->core.pool.Candidates(this->service_name,
+                                               this->excluded_servers, now);
+  if (candidates.empty() && this->answer_started) {
+    // The client would lose the response that it has begun to receive.
+    candidates = this->core.pool.CandidatesBeyondLimits(
+        this->service_name, this->excluded_servers, now);
+  }
   serving::RouteRequest wanted;
   wanted.prompt_tokens = this->request.facts.prompt_tokens;
   wanted.shared_tokens = serving::SharedTokens(this->request.facts);
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -97,6 +97,9 @@
     this->core.counters.Get("moves_total", "result=\"no_target\"").Add();
     return;
   }
+  // Reserves the request that resumes the stream, so that streams that move
+  // together do not all choose a server with a limit.
+  this->core.pool.CountRequest(*move.target, BootClock::now());
   move.step = MoveStep::kCopying;
   move.source_address = ToString(this->attempt->server->server.address);
   this->SendMoveRequest(std::move(*encoded), false);
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -51,6 +51,10 @@
  * heartbeats. */
 constexpr std::chrono::seconds kCrashConfirmTime(5);
 
+/** Time after which a client may come back to another node, if this one has no
+ * share of the limit of a server. */
+constexpr std::chrono::milliseconds kOtherNodeWait(400);
+
 /** Timeout of the connection that probes for a crash; several round trips. */
 constexpr std::chrono::milliseconds kCrashProbeTimeout(400);
 
@@ -186,13 +190,11 @@
     if (pooled->server.service != service || this->IsStopping(*pooled)) {
       continue;
     }
-    const auto limited =
-        this->rate_limits.TimeUntilAllowed(LifetimeOf(*pooled), now);
-    if (!limited) {
-      continue;
-    }
+    const Duration limited =
+        this->rate_limits.TimeUntilAllowed(LifetimeOf(*pooled), now)
+            .value_or(kOtherNodeWait);
     const Duration left =
-        std::max<Duration>(pooled->no_requests_until - now, *limited);
+        std::max<Duration>(pooled->no_requests_until - now, limited);
     if (left <= Duration::zero()) {
       return std::nullopt;
     }
@@ -244,11 +246,27 @@
     std::string_view service,
     const std::vector<std::string>& excluded,
     TimePoint now) const {
+  return this->FindCandidates(service, excluded, true, now);
+}
+
+std::vector<std::shared_ptr<PooledServer>> ServerPool::CandidatesBeyondLimits(
+    std::string_view service,
+    const std::vector<std::string>& excluded,
+    TimePoint now) const {
+  return this->FindCandidates(service, excluded, false, now);
+}
+
+std::vector<std::shared_ptr<PooledServer>> ServerPool::FindCandidates(
+    std::string_view service,
+    const std::vector<std::string>& excluded,
+    bool within_limits,
+    TimePoint now) const {
   std::vector<std::shared_ptr<PooledServer>> found;
   for (const auto& [id, pooled] : this->servers) {
     if (pooled->server.service != service || this->IsStopping(*pooled) ||
         now < pooled->no_requests_until ||
-        !this->rate_limits.Allows(LifetimeOf(*pooled), now)) {
+        (within_limits &&
+         !this->rate_limits.Allows(LifetimeOf(*pooled), now))) {
       continue;
     }
     if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -169,8 +169,12 @@
     }
     const serving::ResponseFacts facts =
         this->codec.DecodeResponse(*result.head);
-    this->pool.RecordAnswer(*pooled, facts, *result.sent_at, BootClock::now());
-    if (facts.status != 200) {
+    // Plain services have no report; their refusal does not end a limit.
+    const bool reports = facts.status == 200;
+    this->RecordAnswer(*pooled, facts,
+                       reports ? *result.sent_at : TimePoint::min(),
+                       BootClock::now());
+    if (!reports) {
       return;
     }
     const auto report = this->codec.DecodeReport(result.body);
@@ -233,6 +237,17 @@
   }
 }
 
+void TrafficCore::CheckLimitedServers(TimePoint now) {
+  for (const serving::ServerLifetime& due :
+       this->pool.RateLimits().TakeDueChecks(now)) {
+    for (const auto& [id, pooled] : this->pool.All()) {
+      if (ServerPool::LifetimeOf(*pooled) == due && pooled->listed) {
+        this->RequestReport(pooled, now);
+      }
+    }
+  }
+}
+
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
   this->nodes = std::max<uint32_t>(1, summary.nodes);
   this->ready_nodes = summary.ready_nodes;
@@ -434,6 +449,7 @@
   }
   this->pool.CheckTime(now);
   this->CheckLeavingServers(now);
+  this->CheckLimitedServers(now);
   this->CountCrashes(now);
   if (now >= this->next_crash_evaluation) {
     this->next_crash_evaluation = now + kCrashEvaluationPeriod;
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -184,7 +184,7 @@
   uint32_t nodes = 1;               ///< Known nodes, this one included.
   uint32_t ready_nodes = 0;         ///< Other nodes that accept requests.
   uint32_t own_ip = 0;              ///< PackIp() of this node.
-  std::vector<uint32_t> ready_ips;  ///< PackIp() of those nodes.
+  std::vector<uint32_t> heard_ips;  ///< PackIp() of the nodes not silent.
   double silent_share = 0;          ///< Share of nodes that may be unreachable.
   int64_t wall_offset_ms = 0;       ///< Time of day minus the boot clock.
   /** Quota units admitted by other nodes since the last summary, by customer;
--- a/packages/serving/include/serving/server_rate_limits_base.h
+++ b/packages/serving/include/serving/server_rate_limits_base.h
@@ -20,9 +20,9 @@
 /** What a node tells the others of the limit of a server. */
 struct RateLimitEntry {
   NameHash server = 0;
-  uint64_t started = 0;   ///< Start of its lifetime, in Unix milliseconds.
-  float per_second = -1;  ///< Negative: the server no longer names a limit.
-  uint32_t age_ms = 0;    ///< Time since the answer.
+  uint64_t started = 0;    ///< Start of its lifetime, in Unix milliseconds.
+  double per_second = -1;  ///< Negative: the server no longer names a limit.
+  uint32_t age_ms = 0;     ///< Time since the answer.
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -46,14 +46,16 @@
  *
  * Nodes do not ask each other for each request. Each limit is divided among as
  * many nodes as get about one request per second, chosen by rendezvous hashing
- * over the nodes that accept requests; the others do not use the server. If
- * instead all nodes had a share, 100 nodes that each send one request at once
- * would exceed most limits.
+ * over the nodes that are heard, also those that are stopping; the others do
+ * not use the server. If instead all nodes had a share, 100 nodes that each
+ * send one request at once would exceed most limits.
  *
  * Pure state, without any I/O. Not thread-safe; times are passed in.
  */
 class ServerRateLimits : public SharedState {
  public:
+  ServerRateLimits();
+
   /**
    * Records the head of an answer.
    * @param per_second Limit that it names, not negative; empty if none.
@@ -79,6 +81,13 @@
   /** Counts a request that this node sends to the server. */
   void CountRequest(const ServerLifetime& server, TimePoint now);
 
+  /**
+   * Servers of which this node has a share but has had no answer for a while.
+   * They have to be asked whether the limit is still in force, since the nodes
+   * without a share can't see its end. Each is returned once per period.
+   */
+  std::vector<ServerLifetime> TakeDueChecks(TimePoint now);
+
   /** Forgets all lifetimes that are not in @p present. */
   void Retain(const std::set<ServerLifetime>& present);
 
@@ -102,10 +111,11 @@
     TimePoint heard_at;           ///< When heard was last told.
     double allowance = 0;         ///< Requests that may be sent, as of updated.
     TimePoint updated;
+    TimePoint next_check;  ///< See TakeDueChecks().
   };
 
   /** The newest notice; nullptr if none is known. */
-  static const Notice* Newest(const Entry& entry, TimePoint now);
+  const Notice* Newest(const Entry& entry, TimePoint now) const;
   /** Requests per second of this node; 0 if it has no share. */
   double ShareOf(const ServerLifetime& server, double per_second) const;
   /** ShareOf() the limit in force; empty without one. */
@@ -124,7 +134,8 @@
 
   std::map<ServerLifetime, Entry> entries;
   uint32_t own_ip = 0;
-  std::vector<uint32_t> other_nodes;  ///< That accept requests; PackIp().
+  std::vector<uint32_t> other_nodes;  ///< That are heard; PackIp().
+  Duration heard_time;  ///< For which a notice holds if it is not repeated.
   uint64_t invalid_reports = 0;
 };
 
--- a/packages/serving/src/server_rate_limits_base.cc
+++ b/packages/serving/src/server_rate_limits_base.cc
@@ -23,14 +23,21 @@
  * lower one. */
 constexpr double kRequestsPerNode = 1;
 
-/** Requests that a node may send at once after a pause, and the most by which
- * it may exceed its share before it has to wait. */
+/** Requests that a node may send at once after a pause. */
 constexpr double kMaxAllowance = 1;
+
+/** Most requests above its share that a node makes up for by waiting. */
 constexpr double kMinAllowance = -4;
 
-/** Time for which another node's notice holds without being repeated; several
- * message periods of a large deployment. */
-constexpr std::chrono::seconds kHeardTime(5);
+/** Least time for which another node's notice holds without being repeated, and
+ * the same in message periods: other regions get a message each second period,
+ * and messages get lost. */
+constexpr std::chrono::seconds kMinHeardTime(5);
+constexpr int kHeardPeriods = 8;
+
+/** Time without an answer after which a server is asked whether its limit is
+ * still in force. */
+constexpr std::chrono::seconds kCheckPeriod(2);
 
 /** Time for which the other nodes are told that a limit has ended. */
 constexpr std::chrono::seconds kEndedTime(5);
@@ -46,7 +53,7 @@
 constexpr size_t kMaxEntries = 4096;
 
 /** Greatest limit that is taken over from another node, and greatest age. */
-constexpr float kMaxPerSecond = 1e6F;
+constexpr double kMaxPerSecond = 1e6;
 constexpr uint32_t kMaxAgeMs = 3'600'000;
 
 double SecondsOf(Duration duration) {
@@ -61,9 +68,11 @@
 
 }  // namespace
 
+ServerRateLimits::ServerRateLimits() : heard_time(kMinHeardTime) {}
+
 const ServerRateLimits::Notice* ServerRateLimits::Newest(const Entry& entry,
-                                                         TimePoint now) {
-  const bool heard = entry.heard && now - entry.heard_at <= kHeardTime;
+                                                         TimePoint now) const {
+  const bool heard = entry.heard && now - entry.heard_at <= this->heard_time;
   if (heard && (!entry.own || entry.heard->answered > entry.own->answered)) {
     return &*entry.heard;
   }
@@ -106,11 +115,12 @@
                                     TimePoint now) {
   const auto found = this->entries.find(server);
   if (per_second) {
-    Entry& entry =
-        found == this->entries.end()
-            ? this->entries.try_emplace(server, Entry{{}, {}, {}, 0, now})
-                  .first->second
-            : found->second;
+    const bool is_new = found == this->entries.end();
+    Entry& entry = is_new ? this->entries[server] : found->second;
+    if (is_new) {
+      entry.updated = now;
+    }
+    entry.next_check = now + kCheckPeriod;
     entry.own = Notice{per_second, now};
     return;
   }
@@ -169,11 +179,26 @@
     return;
   }
   Entry& entry = found->second;
-  const double rate = this->RateOf(server, entry, now).value_or(0);
-  entry.allowance = std::max(kMinAllowance, AllowanceOf(entry, rate, now) - 1);
+  const auto rate = this->RateOf(server, entry, now);
+  if (!rate) {
+    return;
+  }
+  entry.allowance = std::max(kMinAllowance, AllowanceOf(entry, *rate, now) - 1);
   entry.updated = now;
 }
 
+std::vector<ServerLifetime> ServerRateLimits::TakeDueChecks(TimePoint now) {
+  std::vector<ServerLifetime> due;
+  for (auto& [server, entry] : this->entries) {
+    if (now >= entry.next_check &&
+        this->RateOf(server, entry, now).value_or(0) > 0) {
+      entry.next_check = now + kCheckPeriod;
+      due.push_back(server);
+    }
+  }
+  return due;
+}
+
 void ServerRateLimits::Retain(const std::set<ServerLifetime>& present) {
   std::erase_if(this->entries, [&](const auto& entry) {
     return !present.contains(entry.first);
@@ -192,11 +217,10 @@
     }
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - entry.own->answered);
-    report.entries.push_back(
-        {server.id, server.started,
-         static_cast<float>(entry.own->per_second.value_or(-1)),
-         static_cast<uint32_t>(
-             std::clamp<int64_t>(age.count(), 0, kMaxAgeMs))});
+    report.entries.push_back({server.id, server.started,
+                              entry.own->per_second.value_or(-1),
+                              static_cast<uint32_t>(std::clamp<int64_t>(
+                                  age.count(), 0, kMaxAgeMs))});
   }
   if (report.entries.empty()) {
     return;
@@ -213,7 +237,9 @@
 
 void ServerRateLimits::MergePeers(const PeerSummary& summary, TimePoint now) {
   this->own_ip = summary.own_ip;
-  this->other_nodes = summary.ready_ips;
+  this->other_nodes = summary.heard_ips;
+  this->heard_time =
+      std::max<Duration>(kMinHeardTime, kHeardPeriods * summary.message_period);
   for (const ReceivedExtension& extension : summary.extensions) {
     if (extension.kind != static_cast<uint16_t>(ExtensionKind::kServerLimits)) {
       continue;
@@ -246,7 +272,11 @@
   const auto found = this->entries.find(server);
   if (found == this->entries.end()) {
     if (notice.per_second && this->entries.size() < kMaxEntries) {
-      this->entries[server] = {std::nullopt, notice, received, 0, received};
+      Entry& entry = this->entries[server];
+      entry.heard = notice;
+      entry.heard_at = received;
+      entry.updated = received;
+      entry.next_check = received + kCheckPeriod;
     }
     return;
   }
@@ -255,7 +285,7 @@
     return;
   }
   const bool newer = !entry.heard || notice.answered > entry.heard->answered ||
-                     received - entry.heard_at > kHeardTime;
+                     received - entry.heard_at > this->heard_time;
   if (newer) {
     entry.own.reset();
     entry.heard = notice;
@@ -267,7 +297,7 @@
 
 void ServerRateLimits::Expire(TimePoint now) {
   for (auto& [server, entry] : this->entries) {
-    if (entry.heard && now - entry.heard_at > kHeardTime) {
+    if (entry.heard && now - entry.heard_at > this->heard_time) {
       entry.heard.reset();
     }
     if (entry.own && this->IsOutdated(server, *entry.own, now)) {
--- a/packages/serving/tests/server_rate_limits_test.cc
+++ b/packages/serving/tests/server_rate_limits_test.cc
@@ -80,7 +80,7 @@
   PeerSummary summary;
   const auto kind = static_cast<uint16_t>(ExtensionKind::kServerLimits);
   const RateLimitReport odd{
-      {{1, 1, std::nanf(""), 0}, {2, 1, 1e30F, 0}, {3, 1, 1.0F, 0xffffffff}}};
+      {{1, 1, std::nan(""), 0}, {2, 1, 1e30, 0}, {3, 1, 1.0, 0xffffffff}}};
   summary.extensions = {{1, 1, kStart, kind, "no report"},
                         {1, 1, kStart, kind, EncodeBody(odd)}};
   limits.MergePeers(summary, kStart);
@@ -105,8 +105,12 @@
     while (this->now < end) {
       this->now += kStep;
       for (size_t i = 0; i < this->nodes.size(); ++i) {
-        if (this->Draw() < per_node * Seconds(kStep)) {
-          this->Try(this->nodes[i], limit);
+        Node& node = this->nodes[i];
+        if (!node.idle && this->Draw() < per_node * Seconds(kStep)) {
+          this->Try(node, limit);
+        }
+        for (const ServerLifetime& due : node.limits.TakeDueChecks(this->now)) {
+          this->Send(node, due, limit);
         }
       }
       if (this->now >= this->next_message) {
@@ -116,6 +120,16 @@
     }
   }
 
+  /** Sets whether a node gets requests of clients. */
+  void SetIdle(size_t index, bool idle) { this->nodes[index].idle = idle; }
+
+  /** Whether a node has a share of the limit. */
+  bool HasShare(size_t index) const {
+    return this->nodes[index]
+        .limits.TimeUntilAllowed(kServer, this->now)
+        .has_value();
+  }
+
   /** Starts a node anew. */
   void Restart(size_t index) { this->nodes[index] = {}; }
 
@@ -157,6 +171,7 @@
     ServerRateLimits limits;
     std::optional<TimePoint> told;  ///< First answer with a limit.
     bool silent = false;
+    bool idle = false;
   };
 
   static double Seconds(Duration time) {
@@ -168,10 +183,15 @@
   }
 
   void Try(Node& node, std::optional<double> limit) {
-    if (!node.limits.Allows(kServer, this->now)) {
-      return;
+    if (node.limits.Allows(kServer, this->now)) {
+      this->Send(node, kServer, limit);
     }
-    node.limits.CountRequest(kServer, this->now);
+  }
+
+  void Send(Node& node,
+            const ServerLifetime& server,
+            std::optional<double> limit) {
+    node.limits.CountRequest(server, this->now);
     this->all.push_back(this->now);
     if (node.told && this->now - *node.told >= milliseconds(500)) {
       this->arrivals.push_back(this->now);
@@ -179,7 +199,7 @@
     if (limit && !node.told) {
       node.told = this->now;
     }
-    node.limits.RecordAnswer(kServer, limit, this->now, this->now);
+    node.limits.RecordAnswer(server, limit, this->now, this->now);
   }
 
   void Exchange() {
@@ -196,7 +216,7 @@
         if (!heard) {
           continue;
         }
-        summary.ready_ips.push_back(static_cast<uint32_t>(j + 1));
+        summary.heard_ips.push_back(static_cast<uint32_t>(j + 1));
         if (this->Draw() < this->lost) {
           continue;
         }
@@ -288,6 +308,24 @@
   EXPECT_LE(deployment.MostInFourSeconds(from), AllowedInFourSeconds(limit));
 }
 
+// Guards against a limit that outlasts the need because the nodes that share it
+// get no requests, so that none sees its end.
+TEST_P(ServerRateLimitsOfManyTest, LimitEndsWhileTheNodesThatShareItAreIdle) {
+  const auto [nodes, limit] = GetParam();
+  Deployment deployment(nodes, 0.1, 1);
+  deployment.Run(seconds(8), 2.0, limit);
+  uint32_t busy = 0;
+  for (size_t i = 0; i < nodes; ++i) {
+    deployment.SetIdle(i, deployment.HasShare(i));
+    busy += deployment.HasShare(i) ? 0 : 1;
+  }
+  deployment.Run(seconds(10), 2.0, limit);
+  deployment.Run(seconds(10), 2.0, std::nullopt);
+  const TimePoint from = deployment.Now();
+  deployment.Run(seconds(100), 2.0, std::nullopt);
+  EXPECT_GE(deployment.Since(from), busy * 2U * 100 * 3 / 4);
+}
+
 INSTANTIATE_TEST_SUITE_P(Deployments,
                          ServerRateLimitsOfManyTest,
                          testing::Values(Case{1, 3},
