--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -19,17 +19,10 @@
 /** Initial fill of the quotas after a restart, when their use is unknown. */
 constexpr double kRestartQuotaFill = 0.02;
 
-/** Time assumed until the cloud reclaims a server, before the server reports
- * the actual time. */
-constexpr std::chrono::milliseconds kDefaultReclaimNotice(2000);
-
 /** A server that is leaving but still listed as ready is asked again after this
  * multiple of the time for which draining servers run at least. */
 constexpr int kLeavingCheckFactor = 4;
 
-/** Timeout for the report of a stopping server. */
-constexpr std::chrono::milliseconds kReportTimeout(400);
-
 /** Number of usage windows kept; older ones have been reported. */
 constexpr int64_t kMaxUsageWindows = 4;
 
@@ -139,115 +132,6 @@
   this->StartWaitingRequests();
 }
 
-void TrafficCore::RequestStopNotices(TimePoint now) {
-  for (const auto& entry : this->pool.All()) {
-    const std::shared_ptr<PooledServer>& pooled = entry.second;
-    if (!this->pool.IsStopping(*pooled) || pooled->notice_requested ||
-        pooled->own_load.running == 0) {
-      continue;
-    }
-    pooled->notice_requested = true;
-    pooled->stops_at =
-        now + (pooled->server.reclaimable ? Duration(kDefaultReclaimNotice)
-                                          : this->bounds.drain);
-    this->RequestReport(pooled, now);
-  }
-}
-
-void TrafficCore::RequestReport(const std::shared_ptr<PooledServer>& pooled,
-                                TimePoint now) {
-  if (now < pooled->no_requests_until) {
-    return;
-  }
-  httpio::HttpCall call;
-  call.method = "GET";
-  call.target = this->codec.ReportTarget();
-  call.timeout = kReportTimeout;
-  const auto on_report = [this, pooled](const httpio::HttpResult& result) {
-    if (!result.head) {
-      return;  // Keep the assumed stop time.
-    }
-    const serving::ResponseFacts facts =
-        this->codec.DecodeResponse(*result.head);
-    // Plain services have no report; their refusal does not end a limit.
-    const bool reports = facts.status == 200;
-    this->RecordAnswer(*pooled, facts,
-                       reports ? *result.sent_at : TimePoint::min(),
-                       BootClock::now());
-    if (!reports) {
-      return;
-    }
-    const auto report = this->codec.DecodeReport(result.body);
-    if (report.ready && !facts.leaving) {
-      this->pool.Leaving().Clear(ServerPool::LifetimeOf(*pooled),
-                                 *result.sent_at);
-    }
-    if (report.leaves_in) {
-      pooled->stops_at = BootClock::now() + *report.leaves_in;
-    }
-    this->log.Write(
-        EventLevel::kInfo, "server_notice",
-        {{"server", pooled->server.id},
-         {"running", pooled->own_load.running},
-         {"ready", report.ready},
-         {"leaving", facts.leaving},
-         {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
-  };
-  this->pool.CountRequest(*pooled, now);
-  this->pool.CallChannel(*pooled).Call(std::move(call), on_report);
-}
-
-void TrafficCore::RecordAnswer(PooledServer& pooled,
-                               const serving::ResponseFacts& facts,
-                               TimePoint sent,
-                               TimePoint now) {
-  const bool waits = facts.retry_after && now >= pooled.no_requests_until;
-  const serving::ServerLifetime lifetime = ServerPool::LifetimeOf(pooled);
-  const auto known_limit = this->pool.RateLimits().LimitOf(lifetime, now);
-  const bool leaves = this->pool.RecordAnswer(pooled, facts, sent, now);
-  const auto limit = this->pool.RateLimits().LimitOf(lifetime, now);
-  if (limit != known_limit) {
-    this->log.Write(EventLevel::kInfo, "server_limit",
-                    {{"server", pooled.server.id},
-                     {"per_second", limit.value_or(-1)},
-                     {"running", pooled.own_load.running}});
-  }
-  if (waits) {
-    this->log.Write(
-        EventLevel::kInfo, "server_wants_no_requests",
-        {{"server", pooled.server.id}, {"for_ms", facts.retry_after->count()}});
-  }
-  if (leaves) {
-    this->log.Write(
-        EventLevel::kInfo, "server_leaving",
-        {{"server", pooled.server.id}, {"running", pooled.own_load.running}});
-    this->RequestStopNotices(now);
-  }
-}
-
-void TrafficCore::CheckLeavingServers(TimePoint now) {
-  for (const serving::ServerLifetime& due :
-       this->pool.Leaving().TakeDueChecks(now)) {
-    for (const auto& [id, pooled] : this->pool.All()) {
-      if (ServerPool::LifetimeOf(*pooled) == due && pooled->listed &&
-          !pooled->server.draining) {
-        this->RequestReport(pooled, now);
-      }
-    }
-  }
-}
-
-void TrafficCore::CheckLimitedServers(TimePoint now) {
-  for (const serving::ServerLifetime& due :
-       this->pool.RateLimits().TakeDueChecks(now)) {
-    for (const auto& [id, pooled] : this->pool.All()) {
-      if (ServerPool::LifetimeOf(*pooled) == due && pooled->listed) {
-        this->RequestReport(pooled, now);
-      }
-    }
-  }
-}
-
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
   this->nodes = std::max<uint32_t>(1, summary.nodes);
   this->ready_nodes = summary.ready_nodes;
--- a/tests/soak/node_supervisor.cc
+++ b/tests/soak/node_supervisor.cc
@@ -103,7 +103,7 @@
   node.next_stop.reset();
   const bool stops_soon = node.generator() % kRestartsPerStop == 0;
   const milliseconds delay(node.generator() % kMaxStopDelayMs);
-  if (stops_soon && this->disturbs_restarts) {
+  if (stops_soon && this->stops_restarts) {
     node.next_stop = steady_clock::now() + delay;
   }
 }
--- a/tests/soak/node_supervisor.h
+++ b/tests/soak/node_supervisor.h
@@ -75,7 +75,7 @@
   void Poll();
 
   /** No restart is followed by SIGTERM any more. */
-  void EndDisturbances() { this->disturbs_restarts = false; }
+  void EndPlannedEvents() { this->stops_restarts = false; }
 
   const SupervisorCounts& Counts() const { return this->counts; }
 
@@ -104,7 +104,7 @@
   std::vector<Node> nodes;
   SupervisorCounts counts;
   std::vector<std::string> violations;
-  bool disturbs_restarts = true;
+  bool stops_restarts = true;
 };
 
 }  // namespace boragewharf::soak
--- a/tests/soak/soak_program.h
+++ b/tests/soak/soak_program.h
@@ -13,7 +13,7 @@
 namespace boragewharf::soak {
 
 /**
- * Makes a run with a seed, a node program and the length of its disturbances.
+ * Makes a run with a seed, a node program and the length of its planned events.
  * @return Descriptions of violated guarantees, empty if there were none.
  */
 using SoakFunction =
--- a/tests/soak/stop_plan.cc
+++ b/tests/soak/stop_plan.cc
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-/** Time between disturbances that are drawn independently. */
+/** Time between planned events that are drawn independently. */
 constexpr uint64_t kMinPauseMs = 200;
 constexpr uint64_t kMaxPauseMs = 1500;
 
@@ -29,14 +29,14 @@
   PlanBuilder(uint64_t seed, milliseconds total, size_t nodes)
       : generator(seed), length(total), node_count(nodes) {}
 
-  std::vector<Disturbance> Build() {
+  std::vector<PlannedEvent> Build() {
     milliseconds time(0);
     while (time < this->length) {
       this->AddRandom(time);
       time += milliseconds(this->Draw(kMinPauseMs, kMaxPauseMs));
     }
-    std::erase_if(this->plan, [this](const Disturbance& disturbance) {
-      return disturbance.at >= this->length;
+    std::erase_if(this->plan, [this](const PlannedEvent& planned_event) {
+      return planned_event.at >= this->length;
     });
     std::stable_sort(this->plan.begin(), this->plan.end(),
                      [](const auto& a, const auto& b) { return a.at < b.at; });
@@ -48,7 +48,7 @@
     return from + this->generator() % (to - from + 1);
   }
 
-  void Add(milliseconds at, DisturbanceKind kind, size_t node) {
+  void Add(milliseconds at, PlannedEventKind kind, size_t node) {
     this->plan.push_back({at, kind, node, {}});
   }
 
@@ -57,12 +57,12 @@
     switch (this->Draw(0, 10)) {
       case 0:
       case 1:
-        this->Add(now, DisturbanceKind::kTerminate, node);
+        this->Add(now, PlannedEventKind::kTerminate, node);
         break;
       case 2:
-        this->Add(now, DisturbanceKind::kTerminate, node);
+        this->Add(now, PlannedEventKind::kTerminate, node);
         this->Add(now + milliseconds(this->Draw(0, kMaxRepeatDelayMs)),
-                  DisturbanceKind::kTerminate, node);
+                  PlannedEventKind::kTerminate, node);
         break;
       case 3:
       case 4:
@@ -75,10 +75,10 @@
         this->AddSeries(now, this->node_count - 1, kMaxSeriesGapMs);
         break;
       case 7:
-        this->Add(now, DisturbanceKind::kReload, node);
+        this->Add(now, PlannedEventKind::kReload, node);
         break;
       case 8:
-        this->Add(now, DisturbanceKind::kConfig, node);
+        this->Add(now, PlannedEventKind::kConfig, node);
         break;
       default:
         this->AddPace(now);
@@ -92,7 +92,7 @@
     std::iota(nodes.begin(), nodes.end(), 0);
     std::shuffle(nodes.begin(), nodes.end(), this->generator);
     for (size_t i = 0; i < count; ++i) {
-      this->Add(now, DisturbanceKind::kTerminate, nodes[i]);
+      this->Add(now, PlannedEventKind::kTerminate, nodes[i]);
       now += milliseconds(this->Draw(0, max_gap_ms));
     }
   }
@@ -110,20 +110,20 @@
                  : std::lround(kMinMs * std::pow(kLengthRange, position)));
     pace.long_percent =
         this->Draw(0, 1) == 0 ? 0 : static_cast<uint32_t>(this->Draw(2, 15));
-    this->plan.push_back({now, DisturbanceKind::kPace, 0, pace});
+    this->plan.push_back({now, PlannedEventKind::kPace, 0, pace});
   }
 
   std::mt19937_64 generator;
   milliseconds length;
   size_t node_count;
-  std::vector<Disturbance> plan;
+  std::vector<PlannedEvent> plan;
 };
 
 }  // namespace
 
-std::vector<Disturbance> DrawStopPlan(uint64_t seed,
-                                      milliseconds length,
-                                      size_t node_count) {
+std::vector<PlannedEvent> DrawStopPlan(uint64_t seed,
+                                       milliseconds length,
+                                       size_t node_count) {
   return PlanBuilder(seed, length, node_count).Build();
 }
 
--- a/tests/soak/stop_plan.h
+++ b/tests/soak/stop_plan.h
@@ -1,6 +1,6 @@
 /**
  * @file stop_plan.h
- * The disturbances of a soak run of planned stops, drawn by its seed.
+ * The planned events of a soak run of planned stops, drawn by its seed.
  */
 #pragma once
 
@@ -12,28 +12,28 @@
 
 namespace boragewharf::soak {
 
-/** What a disturbance does. */
-enum class DisturbanceKind : uint8_t {
+/** What a planned event does. */
+enum class PlannedEventKind : uint8_t {
   kTerminate,  ///< SIGTERM to a node.
   kReload,     ///< SIGHUP to a node.
   kConfig,     ///< A new version of the configuration.
   kPace,       ///< Other lengths of the streams.
 };
 
-struct Disturbance {
-  std::chrono::milliseconds at{0};  ///< Since the start of the disturbances.
-  DisturbanceKind kind = DisturbanceKind::kTerminate;
+struct PlannedEvent {
+  std::chrono::milliseconds at{0};  ///< Since the start of the planned events.
+  PlannedEventKind kind = PlannedEventKind::kTerminate;
   size_t node = 0;
   StreamPace pace;
 };
 
 /**
- * @return The disturbances of a run in order of time, each within @p length.
+ * @return The planned events of a run in order of time, each within @p length.
  * Nodes are stopped one at a time, several at once or one after another, some
  * with a second SIGTERM.
  */
-std::vector<Disturbance> DrawStopPlan(uint64_t seed,
-                                      std::chrono::milliseconds length,
-                                      size_t node_count);
+std::vector<PlannedEvent> DrawStopPlan(uint64_t seed,
+                                       std::chrono::milliseconds length,
+                                       size_t node_count);
 
 }  // namespace boragewharf::soak
--- a/tests/soak/stop_soak.cc
+++ b/tests/soak/stop_soak.cc
@@ -26,11 +26,11 @@
 
 namespace asio = boost::asio;
 using boragewharf::Endpoint;
-using boragewharf::soak::Disturbance;
-using boragewharf::soak::DisturbanceKind;
 using boragewharf::soak::InterruptedRequest;
 using boragewharf::soak::NodeProcess;
 using boragewharf::soak::NodeSupervisor;
+using boragewharf::soak::PlannedEvent;
+using boragewharf::soak::PlannedEventKind;
 using boragewharf::soak::RunAddresses;
 using boragewharf::soak::RunRecord;
 using boragewharf::soak::SoakClient;
@@ -53,7 +53,7 @@
 /** Time for the nodes to find each other and the servers after their start. */
 constexpr seconds kStartTime(3);
 
-/** Limit of each phase after the disturbances: the longest grace period and
+/** Limit of each phase after the planned events: the longest grace period and
  * request take less. */
 constexpr seconds kPhaseLimit(10);
 
@@ -74,9 +74,9 @@
  public:
   StopRun(uint64_t run_seed,
           const std::string& node_program,
-          seconds disturbance_length)
+          seconds planned_event_length)
       : seed(run_seed),
-        plan_length(disturbance_length),
+        plan_length(planned_event_length),
         client_generator(run_seed),
         directory(std::filesystem::temp_directory_path() /
                   ("boragewharf-stop-soak-" + std::to_string(run_seed) + "-" +
@@ -85,7 +85,7 @@
         cloud(loop),
         load(run_seed),
         plan(boragewharf::soak::DrawStopPlan(run_seed,
-                                             disturbance_length,
+                                             planned_event_length,
                                              kNodeCount)),
         poll_timer(loop),
         plan_timer(loop) {
@@ -132,16 +132,16 @@
 
     const auto clients = this->MakeClients("load", 0);
     this->plan_start = std::chrono::steady_clock::now();
-    this->ScheduleNextDisturbance();
-    this->RunUntil([this] { return this->next_disturbance == plan.size(); },
+    this->ScheduleNextPlannedEvent();
+    this->RunUntil([this] { return this->next_planned_event == plan.size(); },
                    this->plan_length + kPhaseLimit);
-    this->nodes->EndDisturbances();
+    this->nodes->EndPlannedEvents();
     this->RunUntil([this] { return this->nodes->AllServe(); }, kPhaseLimit);
     for (const auto& client : clients) {
       client->Stop();
     }
     this->RunUntilDone(clients);
-    // The start of the last node, as before the disturbances.
+    // The start of the last node, as before the planned events.
     this->loop.run_for(kStartTime);
     this->load.SetPace({});
     const auto final_clients =
@@ -210,33 +210,33 @@
     });
   }
 
-  void ScheduleNextDisturbance() {
-    if (this->next_disturbance == this->plan.size()) {
+  void ScheduleNextPlannedEvent() {
+    if (this->next_planned_event == this->plan.size()) {
       return;
     }
     this->plan_timer.expires_at(this->plan_start +
-                                this->plan[this->next_disturbance].at);
+                                this->plan[this->next_planned_event].at);
     this->plan_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        this->Disturb(this->plan[this->next_disturbance++]);
-        this->ScheduleNextDisturbance();
+        this->Apply(this->plan[this->next_planned_event++]);
+        this->ScheduleNextPlannedEvent();
       }
     });
   }
 
-  void Disturb(const Disturbance& disturbance) {
-    switch (disturbance.kind) {
-      case DisturbanceKind::kTerminate:
-        this->nodes->Terminate(disturbance.node);
+  void Apply(const PlannedEvent& planned_event) {
+    switch (planned_event.kind) {
+      case PlannedEventKind::kTerminate:
+        this->nodes->Terminate(planned_event.node);
         break;
-      case DisturbanceKind::kReload:
-        this->nodes->Reload(disturbance.node);
+      case PlannedEventKind::kReload:
+        this->nodes->Reload(planned_event.node);
         break;
-      case DisturbanceKind::kConfig:
+      case PlannedEventKind::kConfig:
         this->PublishNextConfig();
         break;
-      case DisturbanceKind::kPace:
-        this->load.SetPace(disturbance.pace);
+      case PlannedEventKind::kPace:
+        this->load.SetPace(planned_event.pace);
         break;
     }
   }
@@ -289,7 +289,7 @@
     const auto& counts = this->nodes->Counts();
     const auto refused = this->record.statuses.find("503");
     std::printf(
-        "seed %lu: %u SIGTERM(s), %u restart(s), %zu disturbance(s); answers%s;"
+        "seed %lu: %u SIGTERM(s), %u restart(s), %zu event(s); answers%s;"
         " %u refused with 503, %u answered 504 before their deadline; without "
         "a complete answer: %u connection(s)"
         " failed, %u timeout(s), %zu closed (%u cut off, %u ran without an"
@@ -323,8 +323,8 @@
   std::vector<std::unique_ptr<ServerStandin>> servers;
   std::vector<asio::ip::tcp::endpoint> client_addresses;
   std::unique_ptr<NodeSupervisor> nodes;
-  std::vector<Disturbance> plan;
-  size_t next_disturbance = 0;
+  std::vector<PlannedEvent> plan;
+  size_t next_planned_event = 0;
   std::chrono::steady_clock::time_point plan_start;
   asio::steady_timer poll_timer;
   asio::steady_timer plan_timer;
