Take a reset during the upload for a failure, not for the end of a response

Cause: the kernel reports a reset to one system call. If the write of the request gets it, the next read ends like that of a closed connection, which ends a response without length: a part was passed on as a whole response. Change: after a write that failed, the end of the connection is a failure.

--- a/packages/relay/include/relay/upstream_connection_base.h
+++ b/packages/relay/include/relay/upstream_connection_base.h
@@ -118,6 +118,7 @@
   bool connected = false;
   bool reading = false;
   bool writing = false;
+  bool write_failed = false;  ///< Sending the request failed.
   bool paused = false;
   bool head_request = false;
   bool head_reported = false;  ///< OnHead() was called for the response.
--- a/packages/relay/src/upstream_connection_base.cc
+++ b/packages/relay/src/upstream_connection_base.cc
@@ -91,6 +91,7 @@
                       self->writing = false;
                       if (error) {
                         self->reusable = false;
+                        self->write_failed = true;
                       }
                       // The read side reports a failure as well, after any
                       // response that the server sent before the request was
@@ -134,8 +135,10 @@
   }
   if (error) {
     this->reusable = false;
-    if (error == asio::error::eof && this->head_accepted &&
-        this->parser->FinishAtEof()) {
+    // The kernel reports a reset once. If a write got that report, the read
+    // ends as if the server had closed the connection.
+    if (error == asio::error::eof && !this->write_failed &&
+        this->head_accepted && this->parser->FinishAtEof()) {
       this->Complete();
       return;
     }
