Refuse responses whose status is none of HTTP

Cause: the parser took any three digits for a status, and the node passed them on. Change: a status below 100 or above 599 makes a response malformed.

--- a/packages/httpio/src/message_parser_base.cc
+++ b/packages/httpio/src/message_parser_base.cc
@@ -210,6 +210,14 @@
   }
 }
 
+namespace {
+
+/** Range of status codes (RFC 9110, section 15). */
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+
+}  // namespace
+
 ResponseParser::ResponseParser(BodySink body_sink, bool head_request)
     : sink(std::move(body_sink)) {
   this->header_limit(kResponseHeaderLimit);
@@ -243,7 +251,14 @@
   return !error;
 }
 
-void ResponseParser::on_response_impl(int code, View reason, int, ErrorCode&) {
+void ResponseParser::on_response_impl(int code,
+                                      View reason,
+                                      int,
+                                      ErrorCode& error) {
+  if (code < kFirstStatus || code > kLastStatus) {
+    error = http::error::bad_status;
+    return;
+  }
   this->head.status = static_cast<uint32_t>(code);
   this->head.reason = ToStdView(reason);
 }
