Bound the wait for the reader of the log when a process ends

Cause: the destructor of the log, and exit(), wait for the reader of standard output without a limit. A reader that has stalled would keep the process beyond its grace period.

--- a/packages/eventlog/include/eventlog/event_log_base.h
+++ b/packages/eventlog/include/eventlog/event_log_base.h
@@ -13,6 +13,7 @@
 #include <variant>
 
 #include "base/counter_base.h"
+#include "base/time_type.h"
 
 namespace boragewharf {
 
@@ -39,7 +40,7 @@
       : name(field), value(static_cast<int64_t>(number)) {}
 };
 
-/** Writes log lines. Implementations are thread-safe and never block. */
+/** Writes log lines. Implementations are thread-safe; Write() never blocks. */
 class EventLog {
  public:
   virtual ~EventLog() = default;
@@ -53,12 +54,20 @@
   virtual void Write(EventLevel level,
                      std::string_view event,
                      std::initializer_list<EventField> fields) = 0;
+
+  /**
+   * Waits until all lines written so far are in their output, but no longer
+   * than @p limit.
+   * @return Whether they are.
+   */
+  virtual bool Flush([[maybe_unused]] Duration limit) { return true; }
 };
 
 /**
  * Creates a log that writes JSON lines to standard output from a background
  * thread. When the reader of standard output stalls, the oldest queued lines
- * are dropped and counted in "log_lines_dropped_total".
+ * are dropped and counted in "log_lines_dropped_total". The destructor waits
+ * for the reader without a limit; see EventLog::Flush().
  * @param node Name of this node, included in each line.
  * @param lines_per_second Rate limit for each event name. Warnings and errors
  *     are allowed at four times this rate.
--- a/packages/eventlog/src/event_log_base.cc
+++ b/packages/eventlog/src/event_log_base.cc
@@ -7,10 +7,13 @@
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <thread>
 
+#include "base/scope_guard.h"
 #include "base/time_type.h"
 
 namespace boragewharf {
@@ -19,6 +22,9 @@
 /** Size of the queue for a stalled reader, in lines; about 2 MB of memory. */
 constexpr size_t kMaxQueuedLines = 4096;
 
+/** Period at which a flush looks for lines that are still queued. */
+constexpr std::chrono::milliseconds kFlushPollPeriod(1);
+
 /** Warnings and errors may exceed the rate limit by this factor. */
 constexpr uint32_t kElevatedLevelFactor = 4;
 
@@ -34,6 +40,22 @@
   return "unknown";
 }
 
+/** Writes to standard output, and counts the lines that it was given. */
+class CountingSink : public spdlog::sinks::stdout_sink_mt {
+ public:
+  // NOLINTNEXTLINE(readability-identifier-naming): as of the base class.
+  void log(const spdlog::details::log_msg& message) override {
+    const ScopeGuard count([this] { this->ended += 1; });
+    spdlog::sinks::stdout_sink_mt::log(message);
+  }
+
+  /** Number of lines that have been written, or have failed. */
+  size_t Ended() const { return this->ended; }
+
+ private:
+  std::atomic<size_t> ended{0};
+};
+
 class StdoutEventLog : public EventLog {
  public:
   StdoutEventLog(std::string node_name,
@@ -43,11 +65,11 @@
         max_lines_per_second(lines_per_second),
         dropped(counters.Get("log_lines_dropped_total")),
         written(counters.Get("log_lines_total")),
-        pool(std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines,
-                                                            1)) {
-    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+        pool(
+            std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1)),
+        sink(std::make_shared<CountingSink>()) {
     this->logger = std::make_shared<spdlog::async_logger>(
-        "events", std::move(sink), this->pool,
+        "events", this->sink, this->pool,
         spdlog::async_overflow_policy::overrun_oldest);
     this->logger->set_pattern("%v");
     this->logger->flush_on(spdlog::level::info);
@@ -65,6 +87,7 @@
       }
     }
     this->written.Add();
+    this->queued += 1;
     const int64_t wall_ms = WallNow().time_since_epoch().count();
     this->logger->info(RenderEvent(this->node, wall_ms, level, event, fields));
     const size_t total_overruns = this->pool->overrun_counter();
@@ -75,6 +98,17 @@
     }
   }
 
+  bool Flush(Duration limit) override {
+    const TimePoint end = BootClock::now() + limit;
+    while (this->sink->Ended() + this->pool->overrun_counter() < this->queued) {
+      if (BootClock::now() >= end) {
+        return false;
+      }
+      std::this_thread::sleep_for(kFlushPollPeriod);
+    }
+    return true;
+  }
+
  private:
   /** Lines of one event name written within the current second. */
   struct RateWindow {
@@ -115,7 +149,9 @@
   Counter& dropped;
   Counter& written;
   std::shared_ptr<spdlog::details::thread_pool> pool;
+  std::shared_ptr<CountingSink> sink;
   std::shared_ptr<spdlog::async_logger> logger;
+  std::atomic<size_t> queued{0};  ///< Lines given to the logger.
   std::atomic<size_t> counted_overruns{0};
   std::mutex mutex;
   std::map<std::string, RateWindow, std::less<>> rate_windows;
--- a/packages/eventlog/tests/event_log_test.cc
+++ b/packages/eventlog/tests/event_log_test.cc
@@ -6,11 +6,14 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
+#include <thread>
 #include <vector>
 
 #include "base/scope_guard.h"
@@ -82,6 +85,52 @@
   EXPECT_GT(dropped, 10000);
 }
 
+// Guards against an end of the process that loses lines which are being read,
+// or that waits for a reader that has stalled.
+TEST(StdoutEventLogTest, FlushWaitsForLinesButNotForAStalledReader) {
+  std::array<int, 2> pipe_ends{};
+  ASSERT_EQ(pipe(pipe_ends.data()), 0);
+  const UniqueFd reader(pipe_ends[0]);
+  std::optional<UniqueFd> writer(std::in_place, pipe_ends[1]);
+  const UniqueFd original_stdout(dup(STDOUT_FILENO));
+  fflush(stdout);
+  dup2(writer->Get(), STDOUT_FILENO);
+  CounterRegistry counters;
+  auto log = MakeStdoutEventLog("node-1", 100000, counters);
+  log->Write(EventLevel::kInfo, "first", {});
+  const bool first_flushed = log->Flush(std::chrono::seconds(20));
+  std::array<char, 1000> line{};
+  const ssize_t first_size = read(reader.Get(), line.data(), line.size());
+
+  const std::string filler(200, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    log->Write(EventLevel::kInfo, "request", {{"id", filler}});
+  }
+  const auto start = std::chrono::steady_clock::now();
+  const bool stalled_flushed = log->Flush(std::chrono::milliseconds(200));
+  const auto elapsed = std::chrono::steady_clock::now() - start;
+
+  std::string text;
+  std::thread drain([&] {
+    std::array<char, 65536> bytes{};
+    for (ssize_t size = 1; size > 0;) {
+      size = read(reader.Get(), bytes.data(), bytes.size());
+      text.append(bytes.data(), size > 0 ? size : 0);
+    }
+  });
+  const bool drained = log->Flush(std::chrono::seconds(20));
+  log.reset();
+  dup2(original_stdout.Get(), STDOUT_FILENO);
+  writer.reset();
+  drain.join();
+  EXPECT_TRUE(first_flushed);
+  EXPECT_GT(first_size, 0);
+  EXPECT_FALSE(stalled_flushed);
+  EXPECT_LT(elapsed, std::chrono::seconds(5));
+  EXPECT_TRUE(drained);
+  EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 2000);
+}
+
 TEST(StdoutEventLogTest, EachEventNameHasItsOwnRateLimit) {
   CounterRegistry counters;
   auto log = MakeStdoutEventLog("node-1", 2, counters);
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -44,6 +44,8 @@
    * Serves until SIGTERM or SIGINT, then finishes the requests in progress.
    * @return False if an address could not be bound.
    * @note Must be called only once. The calling thread runs the control loop.
+   * The destructor may wait for the reader of the log; a process that has to
+   * end in time ends without it.
    */
   bool Run();
 
@@ -69,6 +71,8 @@
   /** Rejects all further requests; the process exits soon after. */
   void BeginExit(TimePoint now);
   void TickTraffic();
+  /** Gives the log time to be written, within the grace period. */
+  void FlushLog();
   void CheckSettingsFile();
 
   /** Values for the traffic loop and the control loop that they have not taken
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -63,7 +63,8 @@
   return poptPeekArg(context.get()) == nullptr;
 }
 
-int Serve(const NodeSettings& settings, const std::string& path) {
+/** Runs the node and ends the process. */
+[[noreturn]] void Serve(const NodeSettings& settings, const std::string& path) {
   const auto wire = boragewharf::platform::MakeRequestCodec();
   const auto make_platform = [&](boost::asio::io_context& loop,
                                  boragewharf::EventLog& log,
@@ -75,7 +76,10 @@
         log, counters);
   };
   boragewharf::node::Node node(settings, path, make_platform, *wire);
-  return node.Run() ? kExitOk : kExitStart;
+  const bool served = node.Run();
+  // Destructors and exit() would wait for the reader of standard output, which
+  // may have stalled, beyond the grace period.
+  std::_Exit(served ? kExitOk : kExitStart);
 }
 
 }  // namespace
@@ -107,5 +111,5 @@
     std::printf("%s: no faults\n", path);
     return kExitOk;
   }
-  return Serve(*settings, path);
+  Serve(*settings, path);
 }
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "base/result_func.h"
+#include "base/scope_guard.h"
 #include "serving/crash_evidence_func.h"
 
 namespace boragewharf::node {
@@ -51,6 +52,12 @@
                               kMaxExitMargin);
 }
 
+/** Limits of the time for which the exit waits for a reader of the log. The
+ * lower one is a part of the exit margin; the upper one keeps a reader that has
+ * stalled from delaying the start of the successor. */
+constexpr std::chrono::milliseconds kMinLogFlush(50);
+constexpr std::chrono::milliseconds kMaxLogFlush(500);
+
 /** Period of checks of the settings file, which may change without a SIGHUP. */
 constexpr std::chrono::seconds kSettingsCheckPeriod(2);
 
@@ -105,6 +112,7 @@
 Node::~Node() = default;
 
 bool Node::Run() {
+  const ScopeGuard flush([this] { this->FlushLog(); });
   std::signal(SIGPIPE, SIG_IGN);
   // First, so that the time of a signal during the start is known.
   this->signals.Start([this](int number, TimePoint received) {
@@ -138,6 +146,17 @@
   return true;
 }
 
+void Node::FlushLog() {
+  Duration limit = kMaxLogFlush;
+  if (this->shutdown_started) {
+    const Duration left = *this->shutdown_started +
+                          this->settings.bounds.grace - BootClock::now();
+    limit =
+        std::clamp<Duration>(left - kMinLogFlush, kMinLogFlush, kMaxLogFlush);
+  }
+  this->log->Flush(limit);
+}
+
 template <class Handler>
 void Node::PostToTraffic(const char* source, Handler handler) {
   asio::post(this->traffic_loop,
