Do not take a server for silent while the node itself was late

Cause: after a delay of the traffic loop, what servers had sent was not read yet when the timeouts were checked, and their streams were run again elsewhere. Change: one late check passes over the search for silent servers; a connection that is paused for a slow client resets its time first.

--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -110,7 +110,9 @@
   /** Load, quota use, demand, usage and crash data for the other nodes. */
   serving::TrafficReport Report(TimePoint now);
 
-  /** Applies timeouts; called every kTickPeriod. */
+  /** Applies timeouts; called every kTickPeriod. If a call is late, those of
+   * servers that have sent nothing wait for the next one: what they have sent
+   * may not have been read yet. */
   void CheckTime(TimePoint now);
 
   /** Bytes of responses that are buffered until they are complete, and of
@@ -134,7 +136,8 @@
   /** Limit of BufferedBytes(); a fifth of the memory of the smallest node. */
   static constexpr size_t kMaxBufferedBytes = size_t{32} * 1024 * 1024;
 
-  /** Period of CheckTime(); timeouts are at most this late. */
+  /** Period of CheckTime(); timeouts are at most this late if the loop is not.
+   */
   static constexpr std::chrono::milliseconds kTickPeriod{50};
 
  private:
@@ -247,6 +250,9 @@
   };
   std::map<std::string, Demand> demand;  ///< By service name.
   TimePoint demand_updated;
+  std::optional<TimePoint> last_check;  ///< Last call of CheckTime().
+  /** Whether this call of CheckTime() may find servers silent. */
+  bool finds_silence = true;
 };
 
 }  // namespace boragewharf::relay
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -383,17 +383,20 @@
 }
 
 void Exchange::CheckSilence(TimePoint now) {
+  if (this->attempt->connection->Paused()) {
+    // Nothing is read from the server, so it can't be found silent.
+    this->attempt->last_progress = now;
+    return;
+  }
+  if (!this->core.finds_silence) {
+    return;
+  }
   if (!this->attempt->sent) {
     if (now - this->attempt->started > kConnectTimeout) {
       this->FailAttempt(AttemptFailure::kNotSent);
     }
     return;
   }
-  if (this->attempt->connection->Paused()) {
-    // Nothing is read from the server, so it can't be found silent.
-    this->attempt->last_progress = now;
-    return;
-  }
   if (this->attempt->move.step == MoveStep::kStopping ||
       now - this->attempt->last_progress < this->SilenceTimeout() ||
       !this->MayResend(now)) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -44,6 +44,10 @@
  * contact time after its fifth crash, which also takes two messages. */
 constexpr std::chrono::milliseconds kMaxSettleTime(1000);
 
+/** Time between two checks of timeouts above which the second one is late: the
+ * loop has been blocked for a period or longer. */
+constexpr Duration kLateCheck = 2 * TrafficCore::kTickPeriod;
+
 /** Ids as decimal numbers, separated by commas, for log lines. */
 std::string JoinIds(const std::vector<uint64_t>& ids) {
   std::string text;
@@ -322,6 +326,10 @@
 }
 
 void TrafficCore::CheckTime(TimePoint now) {
+  const bool late = this->last_check && now - *this->last_check > kLateCheck;
+  // Only one check is passed over, as a busy loop may be late for all of them.
+  this->finds_silence = !late || !this->finds_silence;
+  this->last_check = now;
   this->StartWaitingRequests();
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(this->exchanges.size());
