--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -57,7 +57,9 @@
  */
 inline constexpr uint64_t kRevisionStep = 65536;
 
-// Events.
+// Events. Revisions are those of one era of the store: it rises whenever the
+// store comes back without its latest acknowledged writes, whose revisions are
+// then given out again. 0 if the store has no eras.
 
 /** A configuration was read. It is ignored if it is older than the current one.
  */
@@ -65,6 +67,7 @@
   uint64_t revision = 0;
   std::shared_ptr<const serving::ServingConfig> config;
   std::string text;  ///< Text as stored, to be passed on to other nodes.
+  uint64_t era = 0;  ///< Of the store.
 };
 
 /** The complete server list was read. */
@@ -72,6 +75,7 @@
   uint64_t revision = 0;
   std::vector<serving::BackendServer> servers;
   bool from_peer = false;
+  uint64_t era = 0;  ///< Of the store.
 };
 
 /** One server was changed, or removed if @c server is empty. */
@@ -79,6 +83,7 @@
   uint64_t revision = 0;
   std::string id;
   std::optional<serving::BackendServer> server;
+  uint64_t era = 0;  ///< Of the store; not sent to other nodes.
 };
 
 /** Server changes that were fetched from another node. */
@@ -86,6 +91,7 @@
   uint64_t base = 0;      ///< Server list revision that the changes apply to.
   uint64_t revision = 0;  ///< Server list revision after the changes.
   std::vector<ServerChanged> changes;
+  uint64_t era = 0;  ///< Of the store.
 };
 
 /** The store became reachable or unreachable. */
@@ -158,12 +164,14 @@
 /** All roll-out requests were read. */
 struct RolloutsRead {
   std::vector<rollout::RolloutRequest> requests;
+  uint64_t era = 0;  ///< Of the store.
 };
 
 /** One roll-out request was created, changed or removed. */
 struct RolloutChanged {
   rollout::RolloutRequest request;
   bool removed = false;
+  uint64_t era = 0;  ///< Of the store.
 };
 
 /** A WriteRolloutStatus effect has completed. */
