Order configurations and states of nodes by era, and tell it to other nodes

Change: configurations are ordered by (version, era, revision). Log lines with a revision of the store have its era. node_test checks the states as two earlier builds send them, not one.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -241,6 +241,9 @@
   std::string ip;
   uint64_t config_revision = 0;  ///< Revisions that this node has.
   uint64_t servers_revision = 0;
+  uint64_t config_version = 0;  ///< See ServingConfig::version.
+  uint64_t config_era = 0;      ///< Eras of the store for the revisions.
+  uint64_t servers_era = 0;
 };
 
 /** Start or stop watching the store for changes. */
@@ -326,6 +329,7 @@
   std::string event;
   std::string detail;
   uint64_t revision = 0;
+  std::optional<uint64_t> era = std::nullopt;  ///< Of a store revision.
 };
 
 using Effect = std::variant<PublishConfig,
@@ -403,8 +407,10 @@
   std::shared_ptr<const serving::ServingConfig> config;
   std::string config_text;
   uint64_t config_revision = 0;
+  uint64_t config_era = 0;  ///< Era of the store for config_revision.
   std::map<std::string, serving::BackendServer> servers;
   uint64_t servers_revision = 0;
+  uint64_t servers_era = 0;  ///< Era of the store for servers_revision.
   /** Recent changes, kept for nodes that are behind. */
   std::deque<ServerChanged> changes;
   /** @ref changes holds all changes after this revision. */
--- a/packages/fleet/src/fetch_cmd.cc
+++ b/packages/fleet/src/fetch_cmd.cc
@@ -8,6 +8,7 @@
 #include <tuple>
 
 #include "fleet/fleet_cmd.h"
+#include "fleet/state_order_func.h"
 #include "forward_cmd.h"
 
 namespace boragewharf::fleet {
@@ -46,8 +47,8 @@
 bool IsFetchSource(const FleetState& state,
                    const PeerEntry& entry,
                    TimePoint now) {
-  const bool newer = entry.status.config_revision > state.config_revision ||
-                     entry.status.servers_revision > state.servers_revision;
+  const bool newer = HasNewerConfig(state, entry.status) ||
+                     HasNewerServers(state, entry.status);
   const bool failed =
       entry.fetch_failed && now - *entry.fetch_failed < kFailedFetchDelay;
   return newer && !failed &&
@@ -61,8 +62,8 @@
       std::max(kMinSources, state.peers.All().size() / kNodesPerSource);
   if (sources.size() > bound) {
     const auto newest = [](const PeerEntry* entry) {
-      return std::pair(entry->status.config_revision,
-                       entry->status.servers_revision);
+      return std::pair(ConfigOrderOf(entry->status),
+                       ServersOrderOf(entry->status));
     };
     std::ranges::nth_element(
         sources, sources.begin() + static_cast<std::ptrdiff_t>(bound),
@@ -71,7 +72,7 @@
   }
   const std::string salt = state.settings.ip + std::to_string(state.fetches);
   return *std::ranges::max_element(sources, {}, [&](const PeerEntry* entry) {
-    return std::tuple(entry->status.config_revision > state.config_revision,
+    return std::tuple(HasNewerConfig(state, entry->status),
                       entry->status.zone == state.settings.zone,
                       entry->status.region == state.settings.region,
                       serving::HashName(entry->status.ip + salt));
@@ -98,8 +99,8 @@
     return FindNearSource(state, std::move(sources));
   }
   return *std::ranges::max_element(sources, {}, [&](const PeerEntry* entry) {
-    return std::tuple(entry->status.config_revision,
-                      entry->status.servers_revision,
+    return std::tuple(ConfigOrderOf(entry->status),
+                      ServersOrderOf(entry->status),
                       entry->status.region == state.settings.region,
                       serving::HashName(entry->status.ip + state.settings.ip));
   });
@@ -108,8 +109,7 @@
 /** Time until the next fetch, which varies in a large deployment so that the
  * nodes do not ask at the same time. */
 Duration FetchPeriod(const FleetState& state, const PeerEntry& source) {
-  const bool has_newer_config =
-      source.status.config_revision > state.config_revision;
+  const bool has_newer_config = HasNewerConfig(state, source.status);
   if (!IsLarge(state) || has_newer_config || !state.servers_known) {
     return kFetchPeriod;
   }
@@ -140,8 +140,7 @@
                    !state.servers_known || !state.config;
   // A configuration is in force everywhere within a second, so it does not wait
   // for the longer period of server lists.
-  const bool has_newer_config =
-      source->status.config_revision > state.config_revision;
+  const bool has_newer_config = HasNewerConfig(state, source->status);
   const bool period_over =
       now >= state.next_fetch ||
       (has_newer_config && now - state.last_fetch >= kFetchPeriod);
@@ -152,8 +151,9 @@
   state.fetches += 1;
   state.last_fetch = now;
   state.next_fetch = now + FetchPeriod(state, *source);
-  effects.emplace_back(FetchState{source->status.ip, state.config_revision,
-                                  state.servers_revision});
+  effects.emplace_back(FetchState{
+      source->status.ip, state.config_revision, state.servers_revision,
+      OrderOfConfig(state).version, state.config_era, state.servers_era});
 }
 
 void EndFetch(FleetState& state, const FetchEnded& fetch, TimePoint now) {
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -11,6 +11,7 @@
 
 #include "duty_cmd.h"
 #include "fetch_cmd.h"
+#include "fleet/state_order_func.h"
 #include "forward_cmd.h"
 #include "rollout_cmd.h"
 #include "scaling_cmd.h"
@@ -84,10 +85,28 @@
 void ApplyConfig(FleetState& state,
                  const ConfigRead& read,
                  std::vector<Effect>& effects) {
-  if (!read.config || read.revision <= state.config_revision) {
+  if (!read.config) {
     return;
   }
+  const ConfigOrder order{read.config->version, read.era, read.revision};
+  if (order <= OrderOfConfig(state)) {
+    if (read.era > state.config_era) {
+      effects.emplace_back(LogChange{
+          "config_ignored",
+          "version " + std::to_string(read.config->version) + " is older",
+          read.revision, read.era});
+    }
+    return;
+  }
+  // The operator writes the same version again into a store that has lost it.
+  const bool same = state.config &&
+                    state.config->version == read.config->version &&
+                    state.config_text == read.text;
   state.config_revision = read.revision;
+  state.config_era = read.era;
+  if (same) {
+    return;
+  }
   state.config = read.config;
   state.config_text = read.text;
   for (const serving::Customer& customer : read.config->customers) {
@@ -96,7 +115,7 @@
   effects.emplace_back(PublishConfig{read.config});
   effects.emplace_back(LogChange{
       "config_in_force", "version " + std::to_string(read.config->version),
-      read.revision});
+      read.revision, read.era});
 }
 
 /** Whether a server may be missing from the list only because its entry
@@ -303,7 +322,8 @@
   state.store_state_known = true;
   state.store_reachable = reachable;
   effects.emplace_back(LogChange{reachable ? "store_regained" : "store_lost",
-                                 "", state.servers_revision});
+                                 "", state.servers_revision,
+                                 state.servers_era});
 }
 
 /** Sum of an age at the save and the time since then. */
@@ -395,9 +415,9 @@
   std::visit(
       Overloaded{
           [&](const ConfigRead& read) {
-            const uint64_t known = state.config_revision;
+            const ConfigOrder known = OrderOfConfig(state);
             ApplyConfig(state, read, effects);
-            ScheduleMessageNow(state, state.config_revision > known, now);
+            ScheduleMessageNow(state, OrderOfConfig(state) > known, now);
           },
           [&](const ServersRead& read) {
             ApplyServerList(state, read, now, effects);
--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -228,7 +228,7 @@
             "/s speed " +
             std::to_string(std::lround(demand.prefill_per_server.value_or(0))) +
             "/s running " + std::to_string(std::lround(demand.running)),
-        state.servers_revision});
+        state.servers_revision, state.servers_era});
   }
   const ZonePlans plans =
       state.scaling_policy->Plan(*service.scaling, needed, zones);
@@ -265,7 +265,7 @@
                     (answer.reclaimable ? " reclaimable " : " on-demand ") +
                     std::to_string(answer.count) +
                     (answer.accepted ? " accepted" : " refused"),
-                state.servers_revision});
+                state.servers_revision, state.servers_era});
   const auto service = state.scaling.find(answer.service);
   if (service == state.scaling.end()) {
     return;  // The order was placed before this node last lost the lease.
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -10,6 +10,7 @@
 
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
+#include "fleet/state_order_func.h"
 #include "forward_cmd.h"
 #include "rollout_cmd.h"
 #include "serving/crash_evidence_func.h"
@@ -110,6 +111,10 @@
   message.status.holds_duties = HoldsDuties(state, now);
   message.status.config_revision = state.config_revision;
   message.status.servers_revision = state.servers_revision;
+  message.status.has_eras = true;
+  message.status.config_version = OrderOfConfig(state).version;
+  message.status.config_era = state.config_era;
+  message.status.servers_era = state.servers_era;
   // 0 means that this node has no estimate that others should use.
   if (state.wall_offset_ms && !state.wall_in_doubt) {
     message.status.wall_ms = *state.wall_offset_ms + BootMs(now);
--- a/packages/fleet/src/store_following_cmd.cc
+++ b/packages/fleet/src/store_following_cmd.cc
@@ -6,6 +6,7 @@
 
 #include "duty_cmd.h"
 #include "fleet/fleet_cmd.h"
+#include "fleet/state_order_func.h"
 #include "spread_cmd.h"
 
 namespace boragewharf::fleet {
@@ -55,9 +56,13 @@
   const uint32_t own_rank = serving::HashName(state.settings.ip);
   size_t lower_ranked = 0;
   bool other_is_eager = false;
+  const bool store_has_eras = KnowsEras(state);
   for (const auto& [ip, entry] : state.peers.All()) {
+    // Nodes of earlier versions keep older state after the store has come back
+    // from a copy.
+    const bool is_usable = entry.status.has_eras || !store_has_eras;
     const bool follows =
-        entry.status.follows_store && !entry.status.leaving &&
+        is_usable && entry.status.follows_store && !entry.status.leaving &&
         !IsSilent(entry.last_message_at, MessagePeriod(state), now);
     lower_ranked += follows && serving::HashName(ip) < own_rank ? 1 : 0;
     other_is_eager |= follows && entry.status.holds_duties;
@@ -82,7 +87,7 @@
   }
   if (follow != state.following) {
     effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
-                                   state.servers_revision});
+                                   state.servers_revision, state.servers_era});
   }
   state.following = follow;
   state.eager = eager;
--- a/packages/fleet/src/time_of_day_cmd.cc
+++ b/packages/fleet/src/time_of_day_cmd.cc
@@ -30,7 +30,7 @@
                                    "by " + std::to_string(change) +
                                        " ms to the time of " +
                                        std::string(source),
-                                   state.config_revision});
+                                   state.config_revision, state.config_era});
   }
   state.wall_offset_ms = offset;
   state.wall_since = now - estimate.age;
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -20,6 +20,7 @@
 #include "eventlog/handler_guard_base.h"
 #include "fleet/fetch_budget_base.h"
 #include "fleet/fleet_cmd.h"
+#include "fleet/list_order_type.h"
 #include "fleet/platform_base.h"
 #include "httpio/http_channel_base.h"
 #include "httpio/server_connection_base.h"
@@ -137,8 +138,8 @@
   /** The last complete compressed list, which many nodes ask for when they
    * start. */
   struct {
-    uint64_t config_revision = 0;
-    uint64_t servers_revision = 0;
+    fleet::ConfigOrder config;
+    fleet::ListOrder servers;
     bool with_config = false;
     std::string body;
   } cached_list;
--- a/packages/node/include/node/peer_codec.h
+++ b/packages/node/include/node/peer_codec.h
@@ -25,15 +25,34 @@
   uint64_t base_revision = 0;  ///< Server revision that the peer has.
   std::vector<serving::BackendServer> servers;  ///< If full_list.
   std::vector<fleet::ServerChanged> changes;    ///< If not full_list.
+  // Not sent by earlier versions.
+  uint64_t config_era = 0;   ///< Era of the store for config_revision.
+  uint64_t servers_era = 0;  ///< Era of the store for servers_revision.
 };
 
+/** State that a peer has when it asks for newer state. */
+struct KnownState {
+  uint64_t config_revision = 0;
+  uint64_t servers_revision = 0;
+  bool has_eras = false;  ///< The peer knows of eras and states the following.
+  uint64_t config_version = 0;
+  uint64_t config_era = 0;
+  uint64_t servers_era = 0;
+};
+
+/** Whether the peer needs this node's configuration. Thread-safe. */
+bool NeedsConfig(const fleet::FleetState& state, const KnownState& known);
+
+/** Whether MakePeerState() has to list all servers: this node does not keep the
+ * changes since the peer's list, or that is of another era. Thread-safe. */
+bool NeedsFullList(const fleet::FleetState& state, const KnownState& known);
+
 /**
- * Creates the reply to a peer that has the given revisions.
+ * Creates the reply to a peer.
  * @note Must run on the control loop, which modifies @p state.
  */
 PeerState MakePeerState(const fleet::FleetState& state,
-                        uint64_t config_revision,
-                        uint64_t servers_revision);
+                        const KnownState& known);
 
 /** Compresses text with zlib; empty on failure. Thread-safe. */
 std::string Compress(std::string_view text);
@@ -59,10 +78,6 @@
 /** Decodes a peer message; empty if the input is invalid. Thread-safe. */
 std::optional<serving::PeerMessage> DecodePeerMessage(std::string_view bytes);
 
-/** Whether MakePeerState() has to list all servers for a node that has the
- * given revision. */
-bool NeedsFullList(const fleet::FleetState& state, uint64_t servers_revision);
-
 /** Encodes the response to a state fetch. Thread-safe. */
 std::string EncodePeerState(const PeerState& state);
 
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -13,6 +13,7 @@
 #include <typeinfo>
 
 #include "base/time_type.h"
+#include "fleet/state_order_func.h"
 #include "node/peer_codec.h"
 #include "rollout/rollout_func.h"
 
@@ -115,6 +116,19 @@
   return parsed.ec == std::errc() ? number : 0;
 }
 
+/** State that a node has, as it states in a fetch. Earlier versions state no
+ * eras. */
+KnownState KnownStateOf(std::string_view target) {
+  KnownState known;
+  known.config_revision = QueryNumber(target, "config");
+  known.servers_revision = QueryNumber(target, "servers");
+  known.has_eras = !QueryValue(target, "era").empty();
+  known.config_version = QueryNumber(target, "version");
+  known.config_era = QueryNumber(target, "config_era");
+  known.servers_era = QueryNumber(target, "era");
+  return known;
+}
+
 /** Text of a JSON value. Names that other nodes have told may have any bytes;
  * those that are not UTF-8 are replaced. */
 template <class Json>
@@ -294,6 +308,13 @@
             this->state_listener.OnSuspectsRestored(restore.suspects);
           },
           [&](const fleet::LogChange& change) {
+            if (change.era) {
+              this->log.Write(EventLevel::kInfo, change.event,
+                              {{"detail", change.detail},
+                               {"revision", change.revision},
+                               {"era", *change.era}});
+              return;
+            }
             this->log.Write(
                 EventLevel::kInfo, change.event,
                 {{"detail", change.detail}, {"revision", change.revision}});
@@ -363,7 +384,9 @@
   call.target = std::string(kStatePath) +
                 "?config=" + std::to_string(fetch.config_revision) +
                 "&servers=" + std::to_string(fetch.servers_revision) +
-                "&compressed=1";
+                "&version=" + std::to_string(fetch.config_version) +
+                "&config_era=" + std::to_string(fetch.config_era) +
+                "&era=" + std::to_string(fetch.servers_era) + "&compressed=1";
   call.timeout = kFetchTimeout;
   channel->Call(
       std::move(call), [this, ip = fetch.ip](const httpio::HttpResult& result) {
@@ -388,15 +411,16 @@
   const auto text = Decompress(fetched->config_text);
   auto config = text ? this->platform.DecodeConfig(*text) : nullptr;
   if (config) {
-    this->Handle(
-        fleet::ConfigRead{fetched->config_revision, std::move(config), *text});
+    this->Handle(fleet::ConfigRead{fetched->config_revision, std::move(config),
+                                   *text, fetched->config_era});
   }
   if (fetched->servers_known && !fetched->full_list) {
-    this->Handle(fleet::ServersPatched{
-        fetched->base_revision, fetched->servers_revision, fetched->changes});
+    this->Handle(fleet::ServersPatched{fetched->base_revision,
+                                       fetched->servers_revision,
+                                       fetched->changes, fetched->servers_era});
   } else if (fetched->servers_known) {
-    this->Handle(
-        fleet::ServersRead{fetched->servers_revision, fetched->servers, true});
+    this->Handle(fleet::ServersRead{fetched->servers_revision, fetched->servers,
+                                    true, fetched->servers_era});
   }
   return true;
 }
@@ -468,28 +492,27 @@
     this->counters.Get("peer_state_answers_total", "result=\"refused\"").Add();
     return {503, "", ""};
   }
-  const uint64_t config = QueryNumber(request.target, "config");
-  const uint64_t servers = QueryNumber(request.target, "servers");
+  const KnownState known = KnownStateOf(request.target);
   const auto encode = [&] {
-    return EncodePeerState(MakePeerState(this->state, config, servers));
+    return EncodePeerState(MakePeerState(this->state, known));
   };
   EndpointResponse response{200, "application/octet-stream", ""};
   if (QueryNumber(request.target, "compressed") == 0) {
     response.body = encode();
   } else {
     response.content_encoding = kCompressedEncoding;
-    const bool with_config = config < this->state.config_revision;
+    const bool with_config = NeedsConfig(this->state, known);
+    const auto config = fleet::OrderOfConfig(this->state);
+    const auto servers = fleet::ServersOrder(this->state);
     auto& cached = this->cached_list;
-    if (!NeedsFullList(this->state, servers)) {
+    if (!NeedsFullList(this->state, known)) {
       response.body = Compress(encode());
     } else if (!cached.body.empty() && cached.with_config == with_config &&
-               cached.config_revision == this->state.config_revision &&
-               cached.servers_revision == this->state.servers_revision) {
+               cached.config == config && cached.servers == servers) {
       response.body = cached.body;
     } else {
       response.body = Compress(encode());
-      cached = {this->state.config_revision, this->state.servers_revision,
-                with_config, response.body};
+      cached = {config, servers, with_config, response.body};
     }
   }
   this->fetch_budget.Record(response.body.size());
@@ -518,7 +541,9 @@
   dump["leaving"] = this->state.leaving;
   dump["configVersion"] = this->state.config ? this->state.config->version : 0;
   dump["configRevision"] = this->state.config_revision;
+  dump["configEra"] = this->state.config_era;
   dump["serversRevision"] = this->state.servers_revision;
+  dump["serversEra"] = this->state.servers_era;
   dump["storeReachable"] = this->state.store_reachable;
   for (const auto& [id, server] : this->state.servers) {
     dump["servers"][id] = {{"service", server.service},
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -18,6 +18,8 @@
 
 #include "base/body_func.h"
 #include "base/scope_guard.h"
+#include "fleet/fleet_cmd.h"
+#include "fleet/state_order_func.h"
 
 namespace boragewharf::serving {
 
@@ -117,6 +119,67 @@
   });
 }
 
+constexpr auto kStateVersions =
+    static_cast<uint16_t>(serving::ExtensionKind::kStateVersions);
+
+/** Payload of the extension kStateVersions. */
+struct StateVersions {
+  uint64_t config_version = 0;
+  uint64_t config_era = 0;
+  uint64_t servers_era = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->config_version, this->config_era, this->servers_era);
+  }
+};
+
+/** Adds the part of the status that is sent as an extension. It belongs to each
+ * message, also to those that are forwarded and to partial ones, so it is added
+ * here and comes first. */
+void AddStateVersions(const serving::NodeStatus& status,
+                      std::vector<serving::PeerExtension>& extensions) {
+  if (!status.has_eras) {
+    return;
+  }
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(StateVersions{status.config_version, status.config_era,
+                          status.servers_era});
+  }
+  extensions.insert(extensions.begin(), {kStateVersions, stream.str(), {}});
+  if (extensions.size() > serving::kMaxExtensions) {
+    extensions.resize(serving::kMaxExtensions);
+  }
+}
+
+/** Moves that part back to the status. A payload that can't be read counts as
+ * missing. */
+void TakeStateVersions(serving::PeerMessage& message) {
+  auto& extensions = message.report.extensions;
+  const auto found = std::ranges::find(extensions, kStateVersions,
+                                       &serving::PeerExtension::kind);
+  if (found == extensions.end()) {
+    return;
+  }
+  const std::string payload = std::move(found->payload);
+  std::erase_if(extensions, [](const serving::PeerExtension& extension) {
+    return extension.kind == kStateVersions;
+  });
+  try {
+    BodyReader reader(payload);
+    StateVersions versions;
+    reader(versions);
+    message.status.has_eras = true;
+    message.status.config_version = versions.config_version;
+    message.status.config_era = versions.config_era;
+    message.status.servers_era = versions.servers_era;
+  } catch (const std::exception&) {
+    message.status.has_eras = false;
+  }
+}
+
 /** First byte of a compressed message: that of the zlib format with a window of
  * 32 KiB. Other messages begin with cereal's byte for the byte order, 0 or 1.
  */
@@ -138,8 +201,10 @@
                                      message.report.prefill_speeds},
             message.report.crash_evidence,
             message.report.suspects.value_or(serving::SuspectReport{}));
-    if (!message.report.extensions.empty()) {
-      archive(message.report.extensions);
+    std::vector<serving::PeerExtension> extensions = message.report.extensions;
+    AddStateVersions(message.status, extensions);
+    if (!extensions.empty()) {
+      archive(extensions);
     }
   }
   return compressed ? Compress(stream.str()) : stream.str();
@@ -172,6 +237,7 @@
     }
     if (!reader.AtEnd()) {
       reader(message.report.extensions);
+      TakeStateVersions(message);
       std::erase_if(message.report.extensions,
                     [](const serving::PeerExtension& extension) {
                       return extension.payload.size() >
@@ -226,22 +292,34 @@
   return text;
 }
 
-bool NeedsFullList(const fleet::FleetState& state, uint64_t servers_revision) {
-  return servers_revision == 0 || servers_revision < state.changes_base;
+bool NeedsConfig(const fleet::FleetState& state, const KnownState& known) {
+  if (!known.has_eras) {
+    return known.config_revision < state.config_revision;
+  }
+  return fleet::ConfigOrder{known.config_version, known.config_era,
+                            known.config_revision} <
+         fleet::OrderOfConfig(state);
+}
+
+bool NeedsFullList(const fleet::FleetState& state, const KnownState& known) {
+  return known.servers_revision == 0 ||
+         known.servers_revision < state.changes_base ||
+         (known.has_eras && known.servers_era != state.servers_era);
 }
 
 PeerState MakePeerState(const fleet::FleetState& state,
-                        uint64_t config_revision,
-                        uint64_t servers_revision) {
+                        const KnownState& known) {
   PeerState reply;
   reply.config_revision = state.config_revision;
-  if (config_revision < state.config_revision) {
+  reply.config_era = state.config_era;
+  if (NeedsConfig(state, known)) {
     reply.config_text = Compress(state.config_text);
   }
   reply.servers_revision = state.servers_revision;
+  reply.servers_era = state.servers_era;
   reply.servers_known = state.servers_known;
-  reply.base_revision = servers_revision;
-  reply.full_list = NeedsFullList(state, servers_revision);
+  reply.base_revision = known.servers_revision;
+  reply.full_list = NeedsFullList(state, known);
   if (reply.full_list) {
     for (const auto& [id, server] : state.servers) {
       reply.servers.push_back(server);
@@ -249,11 +327,12 @@
     return reply;
   }
   // Only the newest change of each server.
-  std::set<std::string_view> known;
+  std::set<std::string_view> seen;
   for (auto change = state.changes.rbegin();
-       change != state.changes.rend() && change->revision > servers_revision;
+       change != state.changes.rend() &&
+       change->revision > known.servers_revision;
        ++change) {
-    if (known.insert(change->id).second) {
+    if (seen.insert(change->id).second) {
       reply.changes.push_back(*change);
     }
   }
@@ -265,7 +344,8 @@
   std::ostringstream stream(std::ios::binary);
   {
     cereal::PortableBinaryOutputArchive archive(stream);
-    archive(state, MakeServerDetails(state));
+    archive(state, MakeServerDetails(state), state.config_era,
+            state.servers_era);
   }
   return stream.str();
 }
@@ -280,6 +360,9 @@
       reader(details);
       ApplyServerDetails(details, state);
     }
+    if (!reader.AtEnd()) {
+      reader(state.config_era, state.servers_era);
+    }
     return state;
   } catch (const std::exception&) {
     return std::nullopt;  // As in DecodePeerMessage().
--- a/packages/node/tests/exchange_fixture.h
+++ b/packages/node/tests/exchange_fixture.h
@@ -423,9 +423,9 @@
                  fleet::FetchEnded{asked.fetch->ip, false, true});
       return;
     }
-    const PeerState reply =
-        MakePeerState(node.state, asked.fetch->config_revision,
-                      asked.fetch->servers_revision);
+    const PeerState reply = MakePeerState(
+        node.state,
+        {asked.fetch->config_revision, asked.fetch->servers_revision});
     const std::string state = EncodePeerState(reply);
     const std::string bytes = Compress(state);
     node.budget.Record(bytes.size());
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -195,13 +195,13 @@
   state.servers["s1"] = server;
   state.changes = {{8, "s0", std::nullopt}, {9, "s1", server}};
   const auto without_state =
-      DecodePeerState(EncodePeerState(MakePeerState(state, 0, 0)));
+      DecodePeerState(EncodePeerState(MakePeerState(state, {})));
   ASSERT_TRUE(without_state);
   EXPECT_TRUE(without_state->full_list);
   EXPECT_EQ(without_state->servers.size(), 1U);
   EXPECT_LT(without_state->config_text.size(), 2000U) << "must be compressed";
   EXPECT_EQ(Decompress(without_state->config_text), state.config_text);
-  const auto slightly_behind = MakePeerState(state, 5, 8);
+  const auto slightly_behind = MakePeerState(state, {5, 8});
   EXPECT_TRUE(slightly_behind.config_text.empty());
   EXPECT_FALSE(slightly_behind.full_list);
   EXPECT_EQ(slightly_behind.changes.size(), 1U);
@@ -236,18 +236,20 @@
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->servers, state.servers);
   EXPECT_EQ(decoded->changes[1].server, state.servers[0]);
-  size_t complete = 0;
+  std::vector<PeerState> complete;
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
     const auto earlier = DecodePeerState(bytes.substr(0, cut));
     if (!earlier) {
       continue;
     }
-    complete += 1;
+    complete.push_back(*earlier);
     ASSERT_EQ(earlier->servers.size(), 2U);
     EXPECT_EQ(earlier->servers[0].id, "s0");
-    EXPECT_TRUE(earlier->servers[0].version.empty());
   }
-  EXPECT_EQ(complete, 1U) << "the state as an earlier version sends it";
+  // The states as the two earlier versions send them.
+  ASSERT_EQ(complete.size(), 2U);
+  EXPECT_TRUE(complete[0].servers[0].version.empty());
+  EXPECT_EQ(complete[1].servers, state.servers) << "without eras";
 }
 
 TEST(DecompressTest, CorruptInputIsRejected) {
--- a/packages/serving/include/serving/peer_extension_type.h
+++ b/packages/serving/include/serving/peer_extension_type.h
@@ -22,6 +22,7 @@
   kRolloutEvidence = 4,  ///< Results of the versions of a service.
   kForwarding = 5,       ///< One byte of ForwardingFlag.
   kServerLimits = 6,     ///< Limits that servers have named.
+  kStateVersions = 7,    ///< Eras and version of the sender's state.
 };
 
 /** Bits of the payload of kForwarding. A node that sends this extension
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -129,6 +129,11 @@
   int64_t wall_ms = 0;            ///< Estimated time of day.
   int64_t wall_age_ms = 0;        ///< Time for which nodes have passed it on.
   bool wall_confirmed = false;    ///< A majority of nodes has agreed on it.
+  // Sent in the extension kStateVersions; earlier versions send none of them.
+  bool has_eras = false;        ///< The sender knows of the store's eras.
+  uint64_t config_version = 0;  ///< See ServingConfig::version.
+  uint64_t config_era = 0;      ///< Era of the store for config_revision.
+  uint64_t servers_era = 0;     ///< Era of the store for servers_revision.
 
   template <class Archive>
   void serialize(Archive& archive) {
