Keep departed servers out of lists of a later era

Cause: a store that came back from a copy lists servers as ready that had drained or were removed, and lacks servers that registered since; its lists were ignored until the revisions exceeded those from before. Change: server lists are ordered by (era, revision) and move to server_list_cmd. A departure memory keeps servers that drain or were removed so for their lifetime; listed ones are withheld until their entries change or are still listed after 5 s; those that the copy lacks stay 1.9 s. Nodes pass on the list without their own decisions.

--- a/packages/fleet/include/fleet/fleet_cmd.h
+++ b/packages/fleet/include/fleet/fleet_cmd.h
@@ -37,6 +37,11 @@
                                         std::string_view region,
                                         TimePoint now);
 
+/** The server list to be passed on to other nodes. A node that does not watch
+ * the store passes on what it was given; its own decisions on servers that
+ * lapsed or are withheld have no revision. */
+std::vector<serving::BackendServer> ServersForPeers(const FleetState& state);
+
 /**
  * Addresses of the nodes that a client should use while no node is ready: the
  * nodes that were told to stop last, because they keep serving for the longest
--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/time_type.h"
+#include "fleet/departure_memory_base.h"
 #include "fleet/peer_table_base.h"
 #include "fleet/scaling_policy_base.h"
 #include "lease/lease_type.h"
@@ -396,6 +397,12 @@
   serving::NameHash server = 0;
 };
 
+/** A listed server whose lifetime is known to have ended before. */
+struct WithheldServer {
+  serving::BackendServer server;
+  TimePoint since;
+};
+
 /** Control state of a node. Only Reduce() changes it. */
 struct FleetState {
   explicit FleetState(FleetSettings own_settings);
@@ -411,6 +418,11 @@
   std::map<std::string, serving::BackendServer> servers;
   uint64_t servers_revision = 0;
   uint64_t servers_era = 0;  ///< Era of the store for servers_revision.
+  /** When a list of a later era last replaced an earlier one. */
+  std::optional<TimePoint> servers_era_began;
+  DepartureMemory departed;
+  /** Listed servers that are not used yet, by id. */
+  std::map<std::string, WithheldServer> withheld_servers;
   /** Recent changes, kept for nodes that are behind. */
   std::deque<ServerChanged> changes;
   /** @ref changes holds all changes after this revision. */
@@ -430,7 +442,8 @@
   std::optional<TimePoint> behind_since;
   serving::TrafficReport report;
   uint64_t sequence = 0;
-  TimePoint started;  ///< Time of the first event.
+  TimePoint started;    ///< Time of the first event.
+  TimePoint last_tick;  ///< Time of the last Tick event.
   TimePoint next_message;
   TimePoint last_message;
   uint64_t message_rounds = 0;  ///< Number of periodic messages.
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -1,13 +1,12 @@
 /**
  * @file fleet_cmd.cc
- * Reducer for a node's control state: configuration, server list, store outages
- * and saved progress.
+ * Reducer for a node's control state: configuration, store outages and saved
+ * progress.
  */
 #include "fleet/fleet_cmd.h"
 
 #include <algorithm>
 #include <limits>
-#include <set>
 
 #include "duty_cmd.h"
 #include "fetch_cmd.h"
@@ -15,6 +14,7 @@
 #include "forward_cmd.h"
 #include "rollout_cmd.h"
 #include "scaling_cmd.h"
+#include "server_list_cmd.h"
 #include "spread_cmd.h"
 #include "time_of_day_cmd.h"
 
@@ -23,21 +23,6 @@
 
 using std::chrono::milliseconds;
 
-/** Smallest number of server changes kept for nodes that are behind. With
- * more servers, as many changes as servers are kept: while servers register,
- * nodes that are a second behind would otherwise need complete lists, and a
- * node that has read a complete list can only pass on complete lists. */
-constexpr size_t kKeptChanges = 256;
-
-/** A list of more servers than this is published at most once per tick. A
- * copy takes 0.3 kB per server, and thousands of servers that register within
- * seconds would fill the memory of a node whose data plane is busy. */
-constexpr size_t kMaxServersPublishedAtOnce = 256;
-
-/** Live servers whose entries lapsed during a store outage register again
- * within two seconds after it. */
-constexpr milliseconds kServerReturnTime(1900);
-
 /** A process that has run for longer than this has reports of all nodes, so
  * its quota levels are better than the saved ones. */
 constexpr milliseconds kMaxUptimeForRestore(1500);
@@ -53,35 +38,6 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-void PublishServerList(FleetState& state,
-                       TimePoint now,
-                       std::vector<Effect>& effects) {
-  auto set = std::make_shared<serving::ServerSet>();
-  set->revision = state.servers_revision;
-  set->read_at = now;
-  for (const auto& [id, server] : state.servers) {
-    set->servers.push_back(server);
-  }
-  state.servers_known = true;
-  state.servers_unpublished = false;
-  state.servers_published = now;
-  effects.emplace_back(PublishServers{std::move(set)});
-}
-
-/** Publishes a changed list, with the next tick if it is large and was
- * published less than a tick ago. */
-void PublishChangedList(FleetState& state,
-                        TimePoint now,
-                        std::vector<Effect>& effects) {
-  if (state.servers_known &&
-      state.servers.size() > kMaxServersPublishedAtOnce &&
-      now - state.servers_published < kTickPeriod) {
-    state.servers_unpublished = true;
-    return;
-  }
-  PublishServerList(state, now, effects);
-}
-
 void ApplyConfig(FleetState& state,
                  const ConfigRead& read,
                  std::vector<Effect>& effects) {
@@ -118,195 +74,6 @@
       read.revision, read.era});
 }
 
-/** Whether a server may be missing from the list only because its entry
- * lapsed during a store outage. */
-bool MayHaveLapsed(const FleetState& state, TimePoint now) {
-  if (!state.following || !state.store_state_known) {
-    return false;  // Nodes that watch the store have already waited before
-                   // they announce a removal.
-  }
-  return !state.store_reachable ||
-         (state.store_regained &&
-          now - *state.store_regained < kServerReturnTime);
-}
-
-void RemoveServer(FleetState& state,
-                  const std::string& id,
-                  TimePoint now,
-                  std::vector<Effect>& effects) {
-  const auto found = state.servers.find(id);
-  if (found == state.servers.end()) {
-    return;
-  }
-  if (!found->second.draining && MayHaveLapsed(state, now)) {
-    state.lapsed_servers.try_emplace(id, now);
-    return;
-  }
-  state.departures.push_back({now, serving::HashName(id)});
-  state.servers.erase(found);
-  state.lapsed_servers.erase(id);
-  effects.emplace_back(LogChange{"server_gone", id, state.servers_revision});
-}
-
-void AddServer(FleetState& state,
-               const serving::BackendServer& server,
-               TimePoint now,
-               std::vector<Effect>& effects) {
-  state.lapsed_servers.erase(server.id);
-  const auto found = state.servers.find(server.id);
-  const bool is_new = found == state.servers.end();
-  if (is_new || found->second.draining != server.draining) {
-    const serving::NameHash hash = serving::HashName(server.id);
-    if (server.draining) {
-      state.departures.push_back({now, hash});
-    } else {
-      std::erase_if(state.departures, [&](const Departure& departure) {
-        return departure.server == hash;
-      });
-    }
-    effects.emplace_back(LogChange{
-        server.draining ? "server_draining" : "server_ready",
-        server.id + " " + server.service + " " + ToString(server.address),
-        state.servers_revision});
-  }
-  state.servers[server.id] = server;
-}
-
-/** Marks servers as draining that a node with a newer server list announces
- * as departed. */
-void ApplyDepartures(FleetState& state,
-                     const serving::PeerMessage& message,
-                     TimePoint now,
-                     std::vector<Effect>& effects) {
-  if (message.departures.empty() ||
-      message.status.servers_revision <= state.servers_revision) {
-    return;
-  }
-  const std::set<serving::NameHash> leaving(message.departures.begin(),
-                                            message.departures.end());
-  bool changed = false;
-  for (auto& [id, server] : state.servers) {
-    if (server.draining || !leaving.contains(serving::HashName(id))) {
-      continue;
-    }
-    server.draining = true;
-    changed = true;
-    effects.emplace_back(LogChange{"server_draining",
-                                   id + " announced by " + message.status.ip,
-                                   message.status.servers_revision});
-  }
-  if (changed) {
-    PublishChangedList(state, now, effects);
-  }
-}
-
-void ApplyServerList(FleetState& state,
-                     const ServersRead& read,
-                     TimePoint now,
-                     std::vector<Effect>& effects) {
-  const bool older =
-      read.revision < state.servers_revision ||
-      (read.from_peer && read.revision == state.servers_revision);
-  if (state.servers_known && older) {
-    return;
-  }
-  state.servers_revision = read.revision;
-  state.changes.clear();
-  state.changes_base = read.revision;
-  std::map<std::string, bool> listed;
-  for (const serving::BackendServer& server : read.servers) {
-    listed[server.id] = true;
-    AddServer(state, server, now, effects);
-  }
-  std::vector<std::string> removed;
-  for (const auto& [id, server] : state.servers) {
-    if (!listed.contains(id)) {
-      removed.push_back(id);
-    }
-  }
-  for (const std::string& id : removed) {
-    RemoveServer(state, id, now, effects);
-  }
-  PublishServerList(state, now, effects);
-}
-
-void KeepChange(FleetState& state, const ServerChanged& change) {
-  state.changes.push_back(change);
-  const size_t bound = std::max(kKeptChanges, state.servers.size());
-  while (state.changes.size() > bound) {
-    state.changes_base = state.changes.front().revision;
-    state.changes.pop_front();
-  }
-}
-
-void ApplyServersPatch(FleetState& state,
-                       const ServersPatched& patch,
-                       TimePoint now,
-                       std::vector<Effect>& effects) {
-  if (!state.servers_known || patch.base > state.servers_revision ||
-      patch.revision <= state.servers_revision) {
-    return;
-  }
-  for (const ServerChanged& change : patch.changes) {
-    if (change.revision <= state.servers_revision) {
-      continue;
-    }
-    KeepChange(state, change);
-    if (change.server) {
-      AddServer(state, *change.server, now, effects);
-    } else {
-      RemoveServer(state, change.id, now, effects);
-    }
-  }
-  state.servers_revision = patch.revision;
-  PublishChangedList(state, now, effects);
-}
-
-void ApplyServerChange(FleetState& state,
-                       const ServerChanged& change,
-                       TimePoint now,
-                       std::vector<Effect>& effects) {
-  if (change.revision <= state.servers_revision) {
-    return;
-  }
-  state.servers_revision = change.revision;
-  KeepChange(state, change);
-  if (change.server) {
-    AddServer(state, *change.server, now, effects);
-  } else {
-    RemoveServer(state, change.id, now, effects);
-  }
-  PublishChangedList(state, now, effects);
-}
-
-void RemoveLapsedServers(FleetState& state,
-                         TimePoint now,
-                         std::vector<Effect>& effects) {
-  if (!state.store_reachable || state.lapsed_servers.empty()) {
-    return;
-  }
-  bool changed = false;
-  std::erase_if(state.lapsed_servers, [&](const auto& entry) {
-    const TimePoint since =
-        std::max(entry.second, state.store_regained.value_or(entry.second));
-    if (now - since < kServerReturnTime) {
-      return false;
-    }
-    state.servers.erase(entry.first);
-    effects.emplace_back(
-        LogChange{"server_gone", entry.first, state.servers_revision});
-    changed = true;
-    // The store has no new revision for this removal, but other nodes have to
-    // notice it.
-    state.servers_revision += 1;
-    KeepChange(state, {state.servers_revision, entry.first, std::nullopt});
-    return true;
-  });
-  if (changed) {
-    PublishServerList(state, now, effects);
-  }
-}
-
 void ApplyStoreState(FleetState& state,
                      bool reachable,
                      TimePoint now,
@@ -497,10 +264,7 @@
           },
           [&](const Tick& tick) {
             FollowClock(state, tick.clock_wall_ms, now, effects);
-            RemoveLapsedServers(state, now, effects);
-            if (state.servers_unpublished) {
-              PublishServerList(state, now, effects);
-            }
+            AdvanceServerList(state, now, effects);
             UpdateStoreFollowing(state, now, effects);
             FetchNewerState(state, now, effects);
             AdvanceRollouts(state, now, effects);
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -321,9 +321,7 @@
   reply.base_revision = known.servers_revision;
   reply.full_list = NeedsFullList(state, known);
   if (reply.full_list) {
-    for (const auto& [id, server] : state.servers) {
-      reply.servers.push_back(server);
-    }
+    reply.servers = fleet::ServersForPeers(state);
     return reply;
   }
   // Only the newest change of each server.
--- a/packages/serving/include/serving/server_type.h
+++ b/packages/serving/include/serving/server_type.h
@@ -33,6 +33,7 @@
 /** All listed servers at a store revision. Immutable after it is published. */
 struct ServerSet {
   uint64_t revision = 0;  ///< Store revision of the list.
+  uint64_t era = 0;       ///< Era of the store for the revision.
   TimePoint read_at;      ///< When the list was read or last changed.
   std::vector<BackendServer> servers;
 };
