Treat a lease record of another era as void, and number holders by era

Cause: a fencing number lived in the store alone. After an outage, the next lease call waited up to 4 s. Change: a record of another era than the answer is void: everybody waits a lease time, but for the holder whose own lease is still valid, which writes it again. Numbers begin with the era. A lease call is made soon after the store answers other calls again, or a later era is heard of. duties_gained has the record that the lease replaced. The simulation plays returns.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -41,6 +41,8 @@
   Duration usage_late{};
   bool orders_servers = false;  ///< Whether the duty holder orders servers.
   lease::LeaseTiming lease_timing;
+  /** The deployment starts for the first time: nobody has held the duties. */
+  bool first_start = true;
   /** Bounds of roll-outs; empty if this deployment has none. */
   std::optional<rollout::RolloutBounds> rollout_bounds;
 };
@@ -100,6 +102,11 @@
   bool reachable = true;
 };
 
+/** An answer of the store named a later era than any before. */
+struct StoreEraRisen {
+  uint64_t era = 0;
+};
+
 /** A datagram from another node arrived. */
 struct PeerMessageReceived {
   serving::PeerMessage message;
@@ -199,6 +206,7 @@
                            ServerChanged,
                            ServersPatched,
                            StoreReachable,
+                           StoreEraRisen,
                            PeerMessageReceived,
                            TrafficReported,
                            FetchEnded,
@@ -476,6 +484,8 @@
   bool store_reachable = false;
   /** A StoreReachable event has been received. */
   bool store_state_known = false;
+  /** Latest era of the store that this node or another one has learnt. */
+  uint64_t store_era = 0;
   bool fetching = false;
   bool leaving = false;
   TimePoint leaving_since;
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -27,8 +27,8 @@
   /**
    * Starts watching the configuration and the server list, and the roll-out
    * requests if the deployment has bounds for them. Passes ConfigRead,
-   * ServersRead, ServerChanged, RolloutsRead, RolloutChanged and StoreReachable
-   * events to @p sink.
+   * ServersRead, ServerChanged, RolloutsRead, RolloutChanged, StoreReachable
+   * and StoreEraRisen events to @p sink.
    */
   virtual void Follow(EventSink sink) = 0;
 
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -71,6 +71,23 @@
   return lower_addresses < kDutyCandidates;
 }
 
+/** Text on a change of the duties: the result, and for a gain the era of the
+ * store and the record that the lease replaced. */
+std::string ChangeAsText(const lease::DutyChanged& changed) {
+  std::string text = "result " + std::to_string(static_cast<int>(changed.code));
+  if (!changed.held) {
+    return text;
+  }
+  text += " era " + std::to_string(changed.era);
+  if (!changed.replaced) {
+    return text + " follows no record";
+  }
+  const lease::LeaseRecord& record = *changed.replaced;
+  return text + " follows " + std::to_string(record.fencing.value) + " of " +
+         record.instance + " era " + std::to_string(record.era) +
+         (record.released ? " released" : "");
+}
+
 void RunLease(FleetState& state,
               const lease::LeaseEvent& event,
               TimePoint now,
@@ -85,8 +102,7 @@
     }
     effects.emplace_back(
         LogChange{changed->held ? "duties_gained" : "duties_lost",
-                  "result " + std::to_string(static_cast<int>(changed->code)),
-                  changed->fencing.value});
+                  ChangeAsText(*changed), changed->fencing.value});
     if (changed->held) {
       // The saved progress has counts of processes that ended before this node
       // received them.
--- a/packages/fleet/src/duty_cmd.h
+++ b/packages/fleet/src/duty_cmd.h
@@ -21,7 +21,8 @@
 std::set<std::string> DutyHoldersAndCandidates(const FleetState& state,
                                                TimePoint now);
 
-/** Applies the result of a call for the duty lease. */
+/** Applies the result of a call for the duty lease, or what is known of the
+ * store from other calls. */
 void ReduceLease(FleetState& state,
                  const lease::LeaseEvent& event,
                  TimePoint now,
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -91,6 +91,19 @@
   effects.emplace_back(LogChange{reachable ? "store_regained" : "store_lost",
                                  "", state.servers_revision,
                                  state.servers_era});
+  if (reachable) {
+    ReduceLease(state, lease::StoreRegained{}, now, effects);
+  }
+}
+
+void ApplyStoreEra(FleetState& state,
+                   uint64_t era,
+                   TimePoint now,
+                   std::vector<Effect>& effects) {
+  if (era > state.store_era) {
+    state.store_era = era;
+    ReduceLease(state, lease::StoreRegained{era}, now, effects);
+  }
 }
 
 /** Sum of an age at the save and the time since then. */
@@ -164,6 +177,7 @@
   this->lease.self = MemberId{this->settings.incarnation};
   this->lease.instance = this->settings.ip;
   this->lease.timing = this->settings.lease_timing;
+  this->lease.first_start = this->settings.first_start;
   this->lease.generator.seed(this->settings.incarnation);
 }
 
@@ -200,6 +214,9 @@
           [&](const StoreReachable& store) {
             ApplyStoreState(state, store.reachable, now, effects);
           },
+          [&](const StoreEraRisen& risen) {
+            ApplyStoreEra(state, risen.era, now, effects);
+          },
           [&](const PeerMessageReceived& received) {
             const auto kind = state.peers.Receive(received.message, now);
             if (kind == PeerTable::ReceiveResult::kNewProcess) {
@@ -208,6 +225,11 @@
             if (kind != PeerTable::ReceiveResult::kDiscarded) {
               ForwardMessage(state, received.message, now, effects);
               ApplyDepartures(state, received.message, now, effects);
+              // Not all candidates for the duties watch the store.
+              const serving::NodeStatus& status = received.message.status;
+              ApplyStoreEra(state,
+                            std::max(status.config_era, status.servers_era),
+                            now, effects);
               state.usage.Merge(received.message.status.ip,
                                 received.message.status.incarnation,
                                 received.message.report.usage);
--- a/packages/fleet/src/scaling_cmd.cc
+++ b/packages/fleet/src/scaling_cmd.cc
@@ -216,7 +216,7 @@
   ScalingState& scaling = state.scaling[service.name];
   const ScalingDemand demand = TotalDemand(state, service.name, now);
   const auto zones = CountServers(state, service, scaling, now);
-  const bool starting = permit.Fencing() == lease::kFirstFencing;
+  const bool starting = permit.IsFirst();
   const bool counted = CountInitialServers(scaling, zones, starting, now);
   const uint32_t needed = CurrentNeed(scaling, service, demand, now);
   if (needed != scaling.last_needed) {
--- a/packages/lease/include/lease/lease_type.h
+++ b/packages/lease/include/lease/lease_type.h
@@ -60,6 +60,14 @@
 /** Upper bound of the backoff. */
 inline constexpr Duration kBackoffLongest = std::chrono::seconds(4);
 
+/** After StoreRegained, members call at random times within this time, so that
+ * they do not all call at once. */
+inline constexpr Duration kRegainedSpread = std::chrono::milliseconds(300);
+
+/** Least time between calls that are made early for StoreRegained: a store that
+ * alternates between answers and refusals is not called more often. */
+inline constexpr Duration kRegainedPeriod = std::chrono::seconds(1);
+
 /**
  * Timing parameters of the protocol; must be equal on all members of a
  * deployment. The defaults suit stores that respond within seconds.
@@ -72,9 +80,13 @@
   Duration watch_period = kWatchPeriod;      ///< See kWatchPeriod.
 };
 
+/** Stands for all instances but that of the record's holder. Used if the
+ * record does not know who held the duty in a history that the store lost. */
+inline constexpr char kAnyInstance[] = "*";
+
 /** An instance that held the duty before and may have acted on it recently. */
 struct FormerHolder {
-  std::string instance;
+  std::string instance;  ///< Or kAnyInstance.
   /** Time without taking over again, counted from the write of the record. */
   Duration excluded_for{};
 
@@ -93,6 +105,14 @@
    * record because a restarted process does not know that it was a holder. */
   std::vector<FormerHolder> former{};
 
+  /**
+   * Era of the store in which its writer read what the record replaced; 0: the
+   * writer does not know eras. If the store answers with the record in another
+   * era, the record is from a lost history or was executed late: it tells
+   * neither who holds the duty nor that nobody does.
+   */
+  uint64_t era = 0;
+
   bool operator==(const LeaseRecord&) const = default;
 };
 
@@ -114,23 +134,34 @@
   bool wanted = false;  ///< If false, a holder releases the lease.
 };
 
-/** Response to ReadLease. */
+/**
+ * Response to ReadLease. The store's era, here and below, rises whenever the
+ * store comes back without its latest acknowledged writes; 0 if the store has
+ * no eras. Versions are given out again in a later era.
+ */
 struct LeaseRead {
   std::string duty;
   ObjectVersion version;
   LeaseRecord record;
+  uint64_t era = 0;       ///< Of the store when it answered.
+  uint64_t revision = 0;  ///< Rises with each write in an era; 0 without eras.
 };
 
 /** ReadLease failed, or the record could not be decoded. */
 struct LeaseReadFailed {
   std::string duty;
   ResultCode code = ResultCode::kOk;  ///< kStoreNotFound: no object.
+  uint64_t era = 0;                   ///< Of the store if it answered.
 };
 
 /** WriteLease succeeded. */
 struct LeaseWritten {
   std::string duty;
   ObjectVersion version;
+  /** Of the store when it answered; not that of the record if the store came
+   * back from a copy in between. */
+  uint64_t era = 0;
+  uint64_t revision = 0;  ///< See LeaseRead.
 };
 
 /** WriteLease failed. */
@@ -139,6 +170,16 @@
   ResultCode code = ResultCode::kOk;
 };
 
+/**
+ * The store is known to answer again, or to have come back from a copy, from
+ * calls of other kinds or of other members. Makes the next call early if calls
+ * have failed or the era is new. If that call fails as well, the backoff goes
+ * on from where it was.
+ */
+struct StoreRegained {
+  uint64_t era = 0;  ///< Of the store; 0 if unknown.
+};
+
 /** Periodic event, expected several times a second. */
 struct Tick {};
 
@@ -147,6 +188,7 @@
                                 LeaseReadFailed,
                                 LeaseWritten,
                                 LeaseWriteFailed,
+                                StoreRegained,
                                 Tick>;
 
 // Effects. Each ReadLease and WriteLease is answered by exactly one event.
@@ -170,6 +212,10 @@
   FencingNumber fencing;              ///< Fencing number of the lease.
   bool held = false;                  ///< Gained (true) or lost.
   ResultCode code = ResultCode::kOk;  ///< Why it was lost.
+  /** Record that the lease replaced when it was gained; empty if there was no
+   * object. */
+  std::optional<LeaseRecord> replaced{};
+  uint64_t era = 0;  ///< Of the store when the lease was gained.
 };
 
 using LeaseEffect = std::variant<ReadLease, WriteLease, DutyChanged>;
@@ -180,7 +226,9 @@
 struct Observation {
   std::optional<ObjectVersion> version;  ///< Empty: the object does not exist.
   LeaseRecord record;                    ///< Default if it does not exist.
-  TimePoint first_seen;  ///< When this member first saw the version.
+  TimePoint first_seen;   ///< When this member first saw the version.
+  uint64_t era = 0;       ///< Of the store when it was seen.
+  uint64_t revision = 0;  ///< See LeaseRead; 0 if the object does not exist.
 };
 
 /** The lease of this member, known from its own confirmed writes. */
@@ -189,6 +237,7 @@
   TimePoint expires;        ///< Counted from just before the write was sent.
   TimePoint unfenced_from;  ///< Orders of earlier holders are over from here
                             ///< on; allows servers that ignore fencing numbers.
+  bool first = false;       ///< Nobody has held the duty before.
 };
 
 /** A WriteLease whose result is not known yet. */
@@ -196,6 +245,8 @@
   LeaseRecord record;    ///< Record as sent.
   TimePoint sent_at;     ///< Time just before it was sent.
   bool unknown = false;  ///< The response was lost; reading it back tells.
+  std::optional<LeaseRecord> replaced{};  ///< Empty: there was no object.
+  bool first = false;                     ///< See HeldLease.
 };
 
 /** State of one duty at this member. */
@@ -207,8 +258,19 @@
   std::optional<HeldLease> held_lease;  ///< May have expired.
   std::optional<PendingWrite> pending;  ///< At most one at a time.
   FencingNumber highest;                ///< Highest fencing number seen.
-  TimePoint next_call;                  ///< Earliest time of the next call.
-  uint32_t failures = 0;                ///< Consecutive failed calls.
+  uint64_t era = 0;                     ///< Latest era of the store seen.
+  bool answered = false;                ///< The store has answered a read.
+  bool seen_earlier_era = false;        ///< Another era was seen before.
+  /** Number that this member has as the first holder; empty if it is not. */
+  std::optional<FencingNumber> first_fencing{};
+  /** Former holders in the last record that was sent, and until when they are
+   * excluded: the store may come back without that record. */
+  std::map<std::string, TimePoint> excluded{};
+  TimePoint next_call;    ///< Earliest time of the next call.
+  uint32_t failures = 0;  ///< Consecutive failed calls.
+  /** StoreRegained came during the call in flight. */
+  bool regained_in_call = false;
+  TimePoint next_regained;                 ///< See kRegainedPeriod.
   ResultCode last_code = ResultCode::kOk;  ///< Result of the last call.
 };
 
@@ -220,6 +282,9 @@
   uint64_t last_write = 0;    ///< Last used LeaseRecord::write.
   std::map<std::string, Duty, std::less<>> duties{};  ///< By name.
   std::string instance{};  ///< Instance of this member; may be empty.
+  /** The deployment starts for the first time: nobody can have held a duty
+   * whose object does not exist. */
+  bool first_start = true;
 };
 
 }  // namespace boragewharf::lease
--- a/packages/lease/include/lease/permit_base.h
+++ b/packages/lease/include/lease/permit_base.h
@@ -22,6 +22,9 @@
   /** Fencing number that the order carries. */
   FencingNumber Fencing() const { return this->fencing; }
 
+  /** Whether the holder is the first one of its duty. */
+  bool IsFirst() const { return this->first; }
+
   /** Boot clock time from which no order may be sent. Renewing the lease does
    * not extend an issued permit. Before it releases a lease, the holder cancels
    * its orders. */
@@ -33,11 +36,12 @@
                                            ServerFencing fencing,
                                            TimePoint now);
 
-  Permit(FencingNumber fencing_number, TimePoint expiry)
-      : fencing(fencing_number), expires(expiry) {}
+  Permit(FencingNumber fencing_number, TimePoint expiry, bool first_holder)
+      : fencing(fencing_number), expires(expiry), first(first_holder) {}
 
   FencingNumber fencing;
   TimePoint expires;
+  bool first;
 };
 
 }  // namespace boragewharf::lease
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -16,12 +16,25 @@
  * waits until lease_time has passed since it can last have acted. The record
  * stores remaining durations instead of times. Each holder reduces them by the
  * time since it first saw them on its own clock, so never by too much.
+ *
+ * Eras: a store that comes back from a copy has lost its latest acknowledged
+ * writes, and an object that it has may be from before them, or from a write
+ * that was sent in an earlier era and executed late. Such a record is void: it
+ * carries another era than the answer. Whoever held the duty in the lost
+ * history confirmed its last write before the store came back, so its lease has
+ * expired lease_time after anybody first saw the new era. Until then only that
+ * holder may write, with its fencing number. A write is confirmed only in the
+ * era that its record carries. New fencing numbers consist of the era and the
+ * revision that the write replaces, so they rise without any memory of earlier
+ * ones.
  */
 #include "lease/lease_cmd.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "duty_rules_base.h"
+
 namespace boragewharf::lease {
 
 namespace {
@@ -48,7 +61,8 @@
         name(duty_name),
         duty(duty_entry),
         now(time),
-        effects(out) {}
+        effects(out),
+        rules(lease_state, duty_entry, time) {}
 
   void SetWanted(bool wanted) {
     if (this->duty.wanted == wanted) {
@@ -64,32 +78,47 @@
     }
   }
 
-  void OnRead(const ObjectVersion& version, const LeaseRecord& record) {
+  void OnRead(const LeaseRead& read) {
+    if (this->IsOutdated(read.era)) {
+      this->EndCall(ResultCode::kStoreUnavailable);
+      this->BackOff();
+      return;
+    }
     this->EndCall(ResultCode::kOk);
-    this->RecordObservation(version, record);
-    this->ResolvePending(version);
+    this->RecordObservation(
+        {read.version, read.record, this->now, read.era, read.revision});
+    this->ResolvePending(read.version);
     this->DropLeaseIfSuperseded();
     this->ScheduleNext();
   }
 
-  void OnReadFailed(ResultCode code) {
-    this->EndCall(code);
-    if (code != ResultCode::kStoreNotFound) {
+  void OnReadFailed(const LeaseReadFailed& failed) {
+    this->EndCall(failed.code);
+    if (failed.code != ResultCode::kStoreNotFound ||
+        this->IsOutdated(failed.era)) {
       this->BackOff();
       return;
     }
-    this->RecordObservation(std::nullopt, {});
+    this->RecordObservation({std::nullopt, {}, this->now, failed.era});
     this->duty.pending.reset();
     this->ScheduleNext();
   }
 
-  void OnWritten(const ObjectVersion& version) {
+  void OnWritten(const LeaseWritten& written) {
     this->EndCall(ResultCode::kOk);
     if (!this->duty.pending) {
       return;
     }
-    this->RecordObservation(version, this->duty.pending->record);
-    this->ConfirmWrite(*std::exchange(this->duty.pending, std::nullopt));
+    const PendingWrite pending =
+        *std::exchange(this->duty.pending, std::nullopt);
+    if (this->IsOutdated(written.era) || written.era != pending.record.era) {
+      this->duty.seen.reset();  // Read what the store has now.
+      this->duty.next_call = this->now;
+      return;
+    }
+    this->RecordObservation({written.version, pending.record, this->now,
+                             written.era, written.revision});
+    this->ConfirmWrite(pending);
     this->ScheduleNext();
   }
 
@@ -109,6 +138,20 @@
     this->BackOff();
   }
 
+  void OnStoreRegained(const StoreRegained& regained) {
+    if (this->duty.call_in_flight) {
+      this->duty.regained_in_call = true;
+      return;
+    }
+    const bool era_risen = regained.era > this->duty.era;
+    if (era_risen) {
+      this->duty.seen.reset();  // Read what the store has now.
+    }
+    if (era_risen || this->duty.failures > 0) {
+      this->CallEarly();
+    }
+  }
+
   /** Reports an expired lease, and starts the next call if it is due. */
   void Advance() {
     if (this->duty.held_lease && this->now >= this->duty.held_lease->expires) {
@@ -119,7 +162,7 @@
       return;
     }
     const bool needs_read_back = this->duty.pending.has_value();
-    if (!needs_read_back && this->duty.seen && this->CanWrite()) {
+    if (!needs_read_back && this->duty.seen && this->rules.CanWrite()) {
       this->SendWrite();
       return;
     }
@@ -128,104 +171,46 @@
   }
 
  private:
-  /** Whether the last seen record names this member as the holder. */
-  bool IsRecordedHolder() const {
-    return this->duty.seen && this->duty.seen->version &&
-           this->duty.seen->record.holder == this->state.self &&
-           !this->duty.seen->record.released;
-  }
-
   /** Whether the duty needs calls to the store. One that is no longer wanted
    * does until its release is written. */
   bool NeedsCall() const {
     return this->duty.wanted || this->duty.pending ||
-           this->IsRecordedHolder() ||
+           this->rules.IsRecordedHolder() ||
            (!this->duty.seen && this->duty.highest.value > 0);
   }
 
-  /** Whether no member has held the duty so far. Members never remove the
-   * object, so this is the case if it does not exist and this member has never
-   * seen it. @pre The object has been read. */
-  bool NeverHeld() const {
-    return !this->duty.seen->version && this->duty.highest.value == 0;
-  }
-
-  /** Whether the holder was an earlier process of this instance, which has
-   * therefore ended. */
-  bool HolderProcessEnded() const {
-    const LeaseRecord& record = this->duty.seen->record;
-    return this->duty.seen->version && !this->state.instance.empty() &&
-           record.instance == this->state.instance &&
-           record.holder != this->state.self;
-  }
-
-  bool CanWrite() const {
-    if (this->IsRecordedHolder()) {
-      return true;
-    }
-    if (this->NeverHeld()) {
-      return this->duty.wanted;
-    }
-    return this->duty.wanted &&
-           (this->HolderProcessEnded() || this->now >= this->AvailableFrom());
-  }
-
-  /** Earliest time at which this member may take over the lease.
-   * @pre The object has been read. */
-  TimePoint AvailableFrom() const {
-    const Observation& seen = *this->duty.seen;
-    if (!seen.record.released) {
-      return seen.first_seen + this->state.timing.lease_time;
-    }
-    for (const FormerHolder& former : seen.record.former) {
-      if (former.instance == this->state.instance) {
-        return seen.first_seen + former.excluded_for;
-      }
-    }
-    return seen.first_seen;
-  }
-
-  /** Former holders that are still excluded now, including the holder whose
-   * record is being replaced. */
-  std::vector<FormerHolder> CollectFormerHolders() const {
-    const Observation& seen = *this->duty.seen;
-    const LeaseTiming& timing = this->state.timing;
-    std::vector<FormerHolder> former;
-    const auto add_if_recent = [&](const std::string& instance,
-                                   TimePoint until) {
-      if (until > this->now && !instance.empty() &&
-          instance != this->state.instance) {
-        // Round to the unit of the JSON text, so that the record compares equal
-        // when it is read back.
-        former.push_back(
-            {instance,
-             std::chrono::ceil<std::chrono::milliseconds>(until - this->now)});
-      }
-    };
-    for (const FormerHolder& holder : seen.record.former) {
-      add_if_recent(holder.instance, seen.first_seen + holder.excluded_for);
-    }
-    if (!this->IsRecordedHolder()) {
-      const TimePoint ended =
-          seen.record.released
-              ? seen.first_seen
-              : seen.first_seen + timing.lease_time - timing.expiry_margin;
-      add_if_recent(seen.record.instance, ended + timing.lease_time);
-    }
-    return former;
-  }
+  /** Whether the store has come back since @p era. */
+  bool IsOutdated(uint64_t era) const { return era < this->duty.era; }
 
   void SendWrite() {
     const Observation& seen = *this->duty.seen;
-    LeaseRecord record{this->state.self,         seen.record.fencing,
-                       ++this->state.last_write, !this->duty.wanted,
-                       this->state.instance,     this->CollectFormerHolders()};
-    if (!this->IsRecordedHolder()) {
-      // If the object was removed, continue from the highest number seen.
-      record.fencing.value =
-          std::max(seen.record.fencing, this->duty.highest).value + 1;
+    const bool again = this->rules.MayWriteAgain();
+    const bool continues = again || this->rules.IsRecordedHolder();
+    LeaseRecord record;
+    record.holder = this->state.self;
+    record.write = ++this->state.last_write;
+    record.released = !this->duty.wanted;
+    record.instance = this->state.instance;
+    record.era = seen.era;
+    if (again) {
+      record.fencing = this->duty.held_lease->fencing;
+    } else {
+      record.fencing =
+          continues ? seen.record.fencing : this->rules.NextFencing();
+    }
+    this->duty.excluded = this->rules.CollectFormerHolders(continues);
+    for (const auto& [instance, until] : this->duty.excluded) {
+      // Round to the unit of the JSON text, so that the record compares equal
+      // when it is read back.
+      record.former.push_back(
+          {instance,
+           std::chrono::ceil<std::chrono::milliseconds>(until - this->now)});
     }
     this->duty.pending = PendingWrite{record, this->now};
+    this->duty.pending->first = this->rules.NeverHeld();
+    if (seen.version) {
+      this->duty.pending->replaced = seen.record;
+    }
     this->duty.call_in_flight = true;
     this->effects.emplace_back(WriteLease{this->name, seen.version, record});
   }
@@ -233,18 +218,26 @@
   void EndCall(ResultCode code) {
     this->duty.call_in_flight = false;
     this->duty.last_code = code;
-    if (code == ResultCode::kOk) {
+    // A conflict or a missing object is an answer of a store that works.
+    if (code == ResultCode::kOk || code == ResultCode::kStoreNotFound ||
+        code == ResultCode::kStoreConflict) {
       this->duty.failures = 0;
+      this->duty.regained_in_call = false;
     }
   }
 
-  void RecordObservation(std::optional<ObjectVersion> version,
-                         const LeaseRecord& record) {
-    this->duty.highest = std::max(this->duty.highest, record.fencing);
-    const bool unchanged =
-        this->duty.seen && this->duty.seen->version == version;
+  void RecordObservation(Observation observed) {
+    if (observed.era > this->duty.era) {
+      this->duty.seen_earlier_era = this->duty.answered;
+      this->duty.era = observed.era;
+    }
+    this->duty.answered = true;
+    this->duty.highest = std::max(this->duty.highest, observed.record.fencing);
+    const bool unchanged = this->duty.seen &&
+                           this->duty.seen->version == observed.version &&
+                           this->duty.seen->era == observed.era;
     if (!unchanged) {
-      this->duty.seen = Observation{std::move(version), record, this->now};
+      this->duty.seen = std::move(observed);
     }
   }
 
@@ -261,13 +254,16 @@
     const PendingWrite pending =
         *std::exchange(this->duty.pending, std::nullopt);
     if (this->duty.seen->version == version &&
-        this->duty.seen->record == pending.record) {
+        this->duty.seen->record == pending.record && !this->rules.IsVoid()) {
       this->ConfirmWrite(pending);
     }
   }
 
   /** Updates the held lease after a write that has taken effect. */
   void ConfirmWrite(const PendingWrite& write) {
+    if (write.first) {
+      this->duty.first_fencing = write.record.fencing;
+    }
     if (write.record.released || !this->duty.wanted) {
       return;
     }
@@ -279,26 +275,25 @@
     if (continued) {
       this->duty.held_lease->expires = expires;
     } else {
-      // There is no earlier holder whose orders could be outstanding.
-      const bool first = write.record.fencing == kFirstFencing;
+      // Without an earlier holder, no orders can be outstanding.
+      const bool first = write.record.fencing == this->duty.first_fencing;
       this->duty.held_lease =
           HeldLease{write.record.fencing, expires,
                     first ? write.sent_at
-                          : write.sent_at + this->state.timing.order_lifetime};
+                          : write.sent_at + this->state.timing.order_lifetime,
+                    first};
     }
     if (this->now < expires && !this->duty.reported_held) {
       this->duty.reported_held = true;
-      this->effects.emplace_back(
-          DutyChanged{this->name, write.record.fencing, true, ResultCode::kOk});
+      this->effects.emplace_back(DutyChanged{this->name, write.record.fencing,
+                                             true, ResultCode::kOk,
+                                             write.replaced, write.record.era});
     }
   }
 
-  /** Drops the held lease if the object names another holder. A lower fencing
-   * number than that of the held lease comes from a stale read. */
+  /** Drops the held lease if the object names another holder. */
   void DropLeaseIfSuperseded() {
-    const LeaseRecord& record = this->duty.seen->record;
-    if (!this->duty.held_lease || this->IsRecordedHolder() ||
-        record.fencing < this->duty.held_lease->fencing) {
+    if (!this->duty.held_lease || !this->rules.IsSuperseded()) {
       return;
     }
     this->ReportLoss(ResultCode::kLeaseLost);
@@ -331,23 +326,40 @@
     const Duration longest =
         std::min(kBackoffFirst * (1 << doublings), kBackoffLongest);
     this->duty.next_call = this->now + this->Jitter(longest);
+    const bool regained = std::exchange(this->duty.regained_in_call, false);
+    // A store that refuses calls beyond its rate would be called even more.
+    if (regained && this->duty.last_code != ResultCode::kStoreBusy) {
+      this->CallEarly();
+    }
+  }
+
+  /** Moves the next call to a random time soon after now, or after
+   * kRegainedPeriod if that has been done shortly before. */
+  void CallEarly() {
+    const TimePoint from = std::max(this->now, this->duty.next_regained);
+    std::uniform_int_distribution<int64_t> spread(0, kRegainedSpread.count());
+    const TimePoint call = from + Duration(spread(this->state.generator));
+    if (call < this->duty.next_call) {
+      this->duty.next_call = call;
+      this->duty.next_regained = from + kRegainedPeriod;
+    }
   }
 
   /** Sets the time of the next call after a successful one. */
   void ScheduleNext() {
     const bool holds =
         this->duty.held_lease && this->now < this->duty.held_lease->expires;
-    if (holds && this->IsRecordedHolder()) {
+    if (holds && this->rules.IsRecordedHolder()) {
       this->duty.next_call =
           this->now + this->Jitter(this->state.timing.renew_period);
       return;
     }
-    if (this->IsRecordedHolder() || this->NeverHeld() ||
-        this->HolderProcessEnded()) {
+    if (this->rules.IsRecordedHolder() || this->rules.NeverHeld() ||
+        this->rules.MayWriteAgain() || this->rules.HolderProcessEnded()) {
       this->duty.next_call = this->now;
       return;
     }
-    const TimePoint available_from = this->AvailableFrom();
+    const TimePoint available_from = this->rules.AvailableFrom();
     const TimePoint next_poll =
         this->now + this->Jitter(this->state.timing.watch_period);
     this->duty.next_call = available_from > this->now
@@ -360,6 +372,7 @@
   Duty& duty;
   const TimePoint now;
   std::vector<LeaseEffect>& effects;
+  const DutyRules rules;
 };
 
 }  // namespace
@@ -385,18 +398,18 @@
                  },
                  [&](const LeaseRead& read) {
                    apply_to_duty(read.duty, [&read](DutyReducer& reducer) {
-                     reducer.OnRead(read.version, read.record);
+                     reducer.OnRead(read);
                    });
                  },
                  [&](const LeaseReadFailed& failed) {
                    apply_to_duty(failed.duty, [&failed](DutyReducer& reducer) {
-                     reducer.OnReadFailed(failed.code);
+                     reducer.OnReadFailed(failed);
                    });
                  },
                  [&](const LeaseWritten& written) {
                    apply_to_duty(written.duty,
                                  [&written](DutyReducer& reducer) {
-                                   reducer.OnWritten(written.version);
+                                   reducer.OnWritten(written);
                                  });
                  },
                  [&](const LeaseWriteFailed& failed) {
@@ -404,6 +417,12 @@
                      reducer.OnWriteFailed(failed.code);
                    });
                  },
+                 [&](const StoreRegained& regained) {
+                   for (auto& [name, duty] : state.duties) {
+                     DutyReducer(state, name, duty, now, effects)
+                         .OnStoreRegained(regained);
+                   }
+                 },
                  [](const Tick&) {},
              },
              event);
--- a/packages/lease/src/lease_func.cc
+++ b/packages/lease/src/lease_func.cc
@@ -52,7 +52,7 @@
     return Fail(ResultCode::kLeaseLost,
                 "orders of an earlier holder may be outstanding");
   }
-  return Permit(held_lease.fencing, held_lease.expires);
+  return Permit(held_lease.fencing, held_lease.expires, held_lease.first);
 }
 
 std::string EncodeLease(const LeaseRecord& record) {
@@ -64,14 +64,17 @@
           std::chrono::ceil<std::chrono::milliseconds>(holder.excluded_for)
               .count()}});
   }
-  const Json json = {{"format", kRecordFormat},
-                     {"holder", FormatMember(record.holder)},
-                     {"fencing", record.fencing.value},
-                     {"leaseMs", kLeaseTime / std::chrono::milliseconds(1)},
-                     {"write", record.write},
-                     {"released", record.released},
-                     {"instance", record.instance},
-                     {"former", former}};
+  Json json = {{"format", kRecordFormat},
+               {"holder", FormatMember(record.holder)},
+               {"fencing", record.fencing.value},
+               {"leaseMs", kLeaseTime / std::chrono::milliseconds(1)},
+               {"write", record.write},
+               {"released", record.released},
+               {"instance", record.instance},
+               {"former", former}};
+  if (record.era > 0) {
+    json["era"] = record.era;
+  }
   // Former holders are taken from a record that another program wrote.
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -125,7 +128,8 @@
   }
   if (!json.contains("holder") || !json["holder"].is_string() ||
       !json.contains("released") || !json["released"].is_boolean() ||
-      (json.contains("instance") && !json["instance"].is_string())) {
+      (json.contains("instance") && !json["instance"].is_string()) ||
+      (json.contains("era") && !json["era"].is_number_unsigned())) {
     return Fail(ResultCode::kStoreMalformed,
                 "lease record has a missing or invalid field");
   }
@@ -141,8 +145,10 @@
   return LeaseRecord{*holder, FencingNumber{json["fencing"].get<uint64_t>()},
                      json["write"].get<uint64_t>(),
                      json["released"].get<bool>(),
-                     // Records of earlier software versions have no instance.
-                     json.value("instance", ""), std::move(*former)};
+                     // Records of earlier software versions have no instance
+                     // or no era.
+                     json.value("instance", ""), std::move(*former),
+                     json.value("era", uint64_t{0})};
 }
 
 }  // namespace boragewharf::lease
--- a/packages/lease/tests/lease_simulation_test.cc
+++ b/packages/lease/tests/lease_simulation_test.cc
@@ -43,9 +43,11 @@
 /** Simulates the members, the store and a scheduler from one seed. */
 class Simulation {
  public:
-  /** @param times With a short order_lifetime, holders change quickly. */
-  Simulation(uint64_t seed, const LeaseTiming& times)
-      : timing(times), random(seed) {
+  /** @param times With a short order_lifetime, holders change quickly.
+   * @param with_returns Whether the store comes back from copies. */
+  Simulation(uint64_t seed, const LeaseTiming& times, bool with_returns)
+      : timing(times), random(seed), returns(with_returns) {
+    this->era = with_returns ? 1 : 0;
     for (size_t i = 0; i < kMembers; ++i) {
       this->members.push_back(this->NewMember(i));
     }
@@ -71,6 +73,8 @@
   int takeovers = 0;       ///< Changes of the holder with a permit.
   int lost_responses = 0;  ///< Applied writes whose response was lost.
   int conflicts = 0;       ///< Writes rejected by the version check.
+  int store_returns = 0;   ///< Returns of the store from a copy.
+  int late_matches = 0;    ///< Writes of an earlier era that took effect.
 
  private:
   static constexpr size_t kMembers = 4;
@@ -80,6 +84,8 @@
   static constexpr Duration kEnd = kFaultsEnd + seconds(60);
   static constexpr Duration kCallTimeout = seconds(2);
 
+  static constexpr size_t kMaxCopies = 4;
+
   using MemberPtr = std::shared_ptr<Member>;
 
   bool RandomChance(double probability) {
@@ -101,11 +107,41 @@
     member->offset = this->RandomDuration(seconds(0), seconds(1'000'000));
     member->rate = std::uniform_real_distribution<double>(
         1 - 1e-4, 1 + 1e-4)(this->random);
+    member->state.first_start = this->time == Duration{};
     member->inbox.emplace_back(DutyWanted{kDuty, true});
     return member;
   }
 
+  /** Takes a copy of the store, or lets it go on from one; possibly several
+   * times in a row, and with all members restarted in between. */
+  void InjectReturn() {
+    if (this->RandomChance(0.02)) {
+      this->copies.push_back(this->revisions);
+      if (this->copies.size() > kMaxCopies) {
+        this->copies.erase(this->copies.begin());
+      }
+    }
+    if (!this->RandomChance(0.003)) {
+      return;
+    }
+    this->outage_until =
+        this->time + this->RandomDuration(milliseconds(0), seconds(2));
+    this->revisions = this->copies[this->random() % this->copies.size()];
+    this->era += 1;
+    ++this->store_returns;
+    this->TellOfReturn();
+    if (this->RandomChance(0.2)) {
+      for (size_t i = 0; i < kMembers; ++i) {
+        this->members[i]->alive = false;
+        this->members[i] = this->NewMember(i);
+      }
+    }
+  }
+
   void InjectFault() {
+    if (this->returns) {
+      this->InjectReturn();
+    }
     const size_t instance = this->random() % kMembers;
     MemberPtr& member = this->members[instance];
     if (this->RandomChance(0.002)) {
@@ -125,6 +161,21 @@
     if (this->RandomChance(0.001)) {
       this->outage_until =
           this->time + this->RandomDuration(seconds(1), seconds(30));
+      this->TellOfReturn();
+    }
+  }
+
+  /** Some members learn from other calls that the store answers again, or of
+   * its era; perhaps too early or late. */
+  void TellOfReturn() {
+    for (const MemberPtr& member : this->members) {
+      if (this->RandomChance(0.3)) {
+        continue;
+      }
+      const uint64_t known = this->RandomChance(0.5) ? this->era : 0;
+      this->Deliver(member, StoreRegained{known},
+                    this->outage_until - this->time +
+                        this->RandomDuration(-seconds(1), seconds(2)));
     }
   }
 
@@ -240,7 +291,10 @@
       this->lost_responses += this->ApplyWrite(write).has_value();
       this->Deliver(member, unknown, kCallTimeout);
     } else if (const auto version = this->ApplyWrite(write)) {
-      this->Deliver(member, LeaseWritten{kDuty, *version}, this->Latency());
+      this->Deliver(member,
+                    LeaseWritten{kDuty, *version, this->era,
+                                 this->revisions.back().revision},
+                    this->Latency());
     } else {
       this->Deliver(member, LeaseWriteFailed{kDuty, ResultCode::kStoreConflict},
                     this->Latency());
@@ -248,16 +302,27 @@
   }
 
   std::optional<ObjectVersion> ApplyWrite(const WriteLease& write) {
-    const bool exists = !this->revisions.empty();
-    const auto current =
-        exists ? std::optional(this->revisions.back().first) : std::nullopt;
-    if (current != write.expected) {
+    const uint64_t current =
+        this->revisions.empty() ? 0 : this->revisions.back().revision;
+    if (current != this->RevisionOf(write.expected)) {
       ++this->conflicts;
       return std::nullopt;
     }
-    const ObjectVersion version{std::to_string(this->revisions.size() + 1)};
-    this->revisions.emplace_back(version, write.record);
-    return version;
+    this->late_matches += write.record.era != this->era;
+    this->revisions.push_back({current + 1, write.record});
+    return this->VersionOf(current + 1);
+  }
+
+  ObjectVersion VersionOf(uint64_t revision) const {
+    return {std::to_string(this->era) + ":" + std::to_string(revision)};
+  }
+
+  /** Revision on which a write depends. The store does not compare eras, so a
+   * write that is executed in a later era may match by chance. */
+  static uint64_t RevisionOf(const std::optional<ObjectVersion>& version) {
+    return version
+               ? std::stoull(version->text.substr(version->text.find(':') + 1))
+               : 0;
   }
 
   void AnswerRead(const MemberPtr& member) {
@@ -272,13 +337,17 @@
     size_t age =
         faults_active && this->RandomChance(0.1) ? this->random() % 4 : 0;
     if (this->revisions.size() <= age) {
-      this->Deliver(member, LeaseReadFailed{kDuty, ResultCode::kStoreNotFound},
-                    this->Latency());
+      this->Deliver(
+          member, LeaseReadFailed{kDuty, ResultCode::kStoreNotFound, this->era},
+          this->Latency());
       return;
     }
-    const auto& [version, record] =
+    const auto& [revision, record] =
         this->revisions[this->revisions.size() - 1 - age];
-    this->Deliver(member, LeaseRead{kDuty, version, record}, this->Latency());
+    this->Deliver(member,
+                  LeaseRead{kDuty, this->VersionOf(revision), record, this->era,
+                            revision},
+                  this->Latency());
   }
 
   /** Checks that at most one member gets a permit. Includes paused members,
@@ -317,6 +386,9 @@
       ++this->takeovers;
     }
     EXPECT_GE(fencing, this->last_fencing) << "fencing number decreased";
+    EXPECT_EQ(this->fencing_users.try_emplace(fencing, member).first->second,
+              member)
+        << "fencing number used by two members";
     this->last_fencing = fencing;
     this->last_permit_time = this->time;
     if (kind == ServerFencing::kIgnored && this->takeovers > 1) {
@@ -360,7 +432,15 @@
   Duration stopping_until{};
   Duration outage_until{};
   std::vector<MemberPtr> members;
-  std::vector<std::pair<ObjectVersion, LeaseRecord>> revisions;
+  struct Revision {
+    uint64_t revision = 0;
+    LeaseRecord record;
+  };
+  std::vector<Revision> revisions;
+  const bool returns;  ///< The store comes back from copies.
+  uint64_t era = 0;
+  std::vector<std::vector<Revision>> copies{{}};  ///< Earlier ones.
+  std::map<FencingNumber, MemberId> fencing_users;
   std::multimap<Duration, std::function<void()>> actions;
   MemberId last_holder;
   FencingNumber last_fencing;
@@ -373,7 +453,7 @@
 // Guards against two members with permits at the same time, overlapping orders
 // on servers that ignore fencing numbers, fencing numbers that do not increase,
 // alternating holders, and a duty without a holder after the faults have ended.
-void RunSeeds(const LeaseTiming& timing) {
+void RunSeeds(const LeaseTiming& timing, bool store_returns = false) {
   constexpr uint64_t kSeeds = 150;
   uint64_t first = 1;
   uint64_t last = kSeeds;
@@ -383,21 +463,31 @@
   int takeovers = 0;
   int lost_responses = 0;
   int conflicts = 0;
+  int returns = 0;
+  int late_matches = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
-    Simulation simulation(seed, timing);
+    Simulation simulation(seed, timing, store_returns);
     simulation.Run();
     ASSERT_FALSE(testing::Test::HasFailure())
         << "replay with BORAGEWHARF_TEST_SEED=" << seed;
     takeovers += simulation.takeovers;
     lost_responses += simulation.lost_responses;
     conflicts += simulation.conflicts;
+    returns += simulation.store_returns;
+    late_matches += simulation.late_matches;
   }
-  std::printf("takeovers %d, lost responses %d, conflicts %d\n", takeovers,
-              lost_responses, conflicts);
+  std::printf(
+      "takeovers %d, lost responses %d, conflicts %d, returns %d, writes of "
+      "earlier eras %d\n",
+      takeovers, lost_responses, conflicts, returns, late_matches);
   // Ensure that the injected faults exercised the protocol.
   if (first != last) {
     EXPECT_GT(takeovers, static_cast<int>(3 * kSeeds));
     EXPECT_GT(lost_responses, static_cast<int>(3 * kSeeds));
+    if (store_returns) {
+      EXPECT_GT(returns, static_cast<int>(3 * kSeeds));
+      EXPECT_GT(late_matches, 0);
+    }
   }
 }
 
@@ -414,5 +504,19 @@
   RunSeeds(timing);
 }
 
+// Guards against a lost lease that is given out a second time with its fencing
+// number, and against a former holder that acts on a lease of the copy, after
+// the store has come back without its latest writes (incident ONE on
+// ascb-wharf).
+TEST(LeaseSimulationTest, AtMostOneMemberMayActAfterTheStoreReturns) {
+  RunSeeds(LeaseTiming{}, true);
+}
+
+TEST(LeaseSimulationTest, ShortOrderLifetimeAfterTheStoreReturns) {
+  LeaseTiming timing;
+  timing.order_lifetime = kLeaseTime / 5;
+  RunSeeds(timing, true);
+}
+
 }  // namespace
 }  // namespace boragewharf::lease
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -78,6 +78,7 @@
     fleet_settings.usage_window = settings.bounds.usage_window;
     fleet_settings.usage_late = settings.bounds.usage_late;
   }
+  fleet_settings.first_start = settings.first_start;
   fleet_settings.rollout_bounds = settings.bounds.rollout;
   fleet_settings.orders_servers = has_duty("scale");
   // Leases last longer than the configured minimum, which limits how often the
