Close usage windows whose recorded counts the store may have lost

Cause: the counts of a usage window are fixed in the store before they are reported. A copy lacks them, so that the window was fixed again with other counts. Change: a register of another era is void: all windows that an earlier holder may have reported are closed, but for those whose counts this holder knows.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -16,6 +16,7 @@
 
 #include "base/time_type.h"
 #include "fleet/departure_memory_base.h"
+#include "fleet/duty_progress_type.h"
 #include "fleet/peer_table_base.h"
 #include "fleet/scaling_policy_base.h"
 #include "lease/lease_type.h"
@@ -47,9 +48,6 @@
   std::optional<rollout::RolloutBounds> rollout_bounds;
 };
 
-/** Number of requests that started in a usage window, by customer name. */
-using NamedCounts = std::map<std::string, uint32_t>;
-
 /** Name of the lease that covers all duties: usage reports, server orders and
  * saving of progress. */
 inline constexpr char kDutyLease[] = "duties";
@@ -272,6 +270,12 @@
 struct FixUsage {
   int64_t window = 0;
   NamedCounts counts;
+  /** The last window that an earlier holder of the duties may have reported. If
+   * the store has lost the register, nothing is recorded for it and those
+   * before it, except for @ref known. */
+  int64_t may_be_reported_through = -1;
+  /** Counts that this holder has had recorded since it gained the duties. */
+  std::map<int64_t, NamedCounts> known = {};
 };
 
 /** Report a window's counts to the platform. Completes with UsageSent. */
@@ -362,43 +366,6 @@
 
 // State.
 
-/** Progress of the usage report of one window. */
-struct WindowProgress {
-  enum class Step : uint8_t { kOpen, kFixing, kFixed, kSending, kDone };
-  Step step = Step::kOpen;
-  NamedCounts counts;
-  TimePoint next_try;
-};
-
-/** Orders for one kind of server (reclaimable or on-demand) of a service in
- * one zone. */
-struct OrderState {
-  /** Number of servers in the last accepted order. */
-  std::optional<uint32_t> ordered;
-  /** Number of servers in the newest unanswered order. */
-  std::optional<uint32_t> requested;
-  TimePoint next_try;
-  TimePoint ordered_at;
-  /** Since when fewer servers than ordered have been wanted. */
-  std::optional<TimePoint> fewer_wanted_since;
-  TimePoint unavailable_until;
-};
-
-/** Scaling state of one service. */
-struct ScalingState {
-  /** By zone and whether the servers are reclaimable. */
-  std::map<std::pair<std::string, bool>, OrderState> orders;
-  /** Number of servers needed, by time. */
-  std::map<TimePoint, uint32_t> recent_needs;
-  /** Number of servers listed before the first order. */
-  uint32_t initial_servers = 0;
-  /** When initial_servers last increased. */
-  std::optional<TimePoint> last_growth;
-  bool initial_servers_known = false;  ///< initial_servers is final.
-  std::optional<TimePoint> first_demand;
-  uint32_t last_needed = 0;  ///< Last number that was logged.
-};
-
 /** A server that started draining or was removed. */
 struct Departure {
   TimePoint seen;
@@ -474,6 +441,7 @@
   std::map<std::string, ScalingState> scaling;
   TimePoint next_scaling;
   TimePoint next_save;
+  TimePoint duties_gained_at;  ///< Of the last time.
   std::optional<TimePoint> duties_lost_at;
   std::shared_ptr<const ScalingPolicy> scaling_policy;
   bool servers_known = false;  ///< A server list has been received.
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -107,6 +107,7 @@
       // The saved progress has counts of processes that ended before this node
       // received them.
       effects.emplace_back(ReadProgress{});
+      state.duties_gained_at = now;
     } else {
       effects.emplace_back(EndDutyCalls{});
       state.duties_lost_at = now;
@@ -138,6 +139,25 @@
   return std::to_string(sum);
 }
 
+/** The effect that records a window's counts, with what a store that has come
+ * back from a copy may have lost. */
+FixUsage MakeFixUsage(const FleetState& state, int64_t window) {
+  FixUsage usage{window, CountsByName(state, window)};
+  const auto window_ms =
+      std::chrono::duration_cast<milliseconds>(state.settings.usage_window)
+          .count();
+  // Earlier holders have reported windows that had ended when they lost the
+  // duties. The window in progress covers the difference of the clocks.
+  usage.may_be_reported_through =
+      WallMs(state, state.duties_gained_at) / window_ms;
+  for (const auto& [known_window, progress] : state.windows) {
+    if (progress.fixed) {
+      usage.known.emplace(known_window, progress.counts);
+    }
+  }
+  return usage;
+}
+
 void AdvanceWindow(FleetState& state,
                    int64_t window,
                    const lease::Permit& permit,
@@ -149,7 +169,7 @@
   }
   if (progress.step == WindowProgress::Step::kOpen) {
     progress.step = WindowProgress::Step::kFixing;
-    effects.emplace_back(FixUsage{window, CountsByName(state, window)});
+    effects.emplace_back(MakeFixUsage(state, window));
     return;
   }
   if (progress.step != WindowProgress::Step::kFixed) {
@@ -272,6 +292,7 @@
     return;
   }
   progress.step = WindowProgress::Step::kFixed;
+  progress.fixed = true;
   progress.counts = *fixed.counts;
 }
 
--- a/packages/fleet/tests/usage_register_test.cc
+++ b/packages/fleet/tests/usage_register_test.cc
@@ -156,5 +156,29 @@
   EXPECT_GT(late, kRuns);
 }
 
+// Guards against recording a window again whose counts were reported before the
+// store came back from a copy: neither the copy nor the new holder knows it.
+TEST(UsageRegisterEraTest, WindowsOfALostHistoryAreClosed) {
+  UsageRegister copy;
+  copy.era = 1;
+  copy.fixed[9] = {{"school", 3}};
+  FixUsage usage{8, {{"school", 4}}};
+  usage.may_be_reported_through = 7;
+  usage.known[6] = {{"school", 5}};
+  EXPECT_EQ(DecideUsage(copy, usage, 2).step, UsageDecision::Step::kClosed);
+  usage.window = 9;
+  EXPECT_EQ(DecideUsage(copy, usage, 2).step, UsageDecision::Step::kClosed);
+  usage.window = 6;
+  const UsageDecision known = DecideUsage(copy, usage, 2);
+  EXPECT_EQ(known.step, UsageDecision::Step::kRepeat);
+  EXPECT_EQ(known.counts, usage.known[6]);
+  usage.window = 10;
+  const UsageDecision next = DecideUsage(copy, usage, 2);
+  EXPECT_EQ(next.step, UsageDecision::Step::kWrite);
+  EXPECT_EQ(next.next.era, 2U);
+  EXPECT_EQ(next.next.closed_through, 9);
+  EXPECT_EQ(next.next.fixed.size(), 2U);
+}
+
 }  // namespace
 }  // namespace boragewharf::fleet
