Read saved progress until that succeeds, and count old levels as used up

Cause: progress that could not be read was taken for missing, and the next save replaced it. Levels that were saved in an earlier era lack the use since the copy. Change: saved progress is read until that succeeds, at times that differ between nodes, and not replaced before. It has the era; levels of an earlier one count as used up.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -165,6 +165,17 @@
   std::vector<serving::BlockedPart> blocked_parts = {};
   /** Crashes under requests; ages as of the save. */
   serving::SuspectReport suspects = {};
+  /** The progress was saved in an earlier era of the store: later saves may be
+   * lost. */
+  bool from_earlier_era = false;
+};
+
+/** The saved progress could not be read. */
+struct ProgressReadFailed {
+  ResultCode code = ResultCode::kStoreUnknown;
+  /** Progress may be saved, and is to be read again. Otherwise there is none,
+   * or none that can be decoded. */
+  bool may_exist = true;
 };
 
 /** All roll-out requests were read. */
@@ -213,6 +224,7 @@
                            UsageSent,
                            ServersOrdered,
                            ProgressRead,
+                           ProgressReadFailed,
                            RolloutsRead,
                            RolloutChanged,
                            RolloutStatusWritten,
@@ -311,7 +323,8 @@
   serving::SuspectReport suspects = {};
 };
 
-/** Read the saved progress. Completes with ProgressRead if any is stored. */
+/** Read the saved progress. Completes with ProgressRead or ProgressReadFailed.
+ */
 struct ReadProgress {};
 
 /** Hand saved blocks of prompt parts to the data plane. */
@@ -441,6 +454,7 @@
   std::map<std::string, ScalingState> scaling;
   TimePoint next_scaling;
   TimePoint next_save;
+  ProgressReadState progress_read;
   TimePoint duties_gained_at;  ///< Of the last time.
   std::optional<TimePoint> duties_lost_at;
   std::shared_ptr<const ScalingPolicy> scaling_policy;
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -51,7 +51,7 @@
    * replaces it. */
   virtual void Save(const SaveProgress& progress) = 0;
 
-  /** Reads saved progress. Yields ProgressRead if there is any. */
+  /** Reads saved progress. Yields ProgressRead or ProgressReadFailed. */
   virtual void ReadSaved(EventSink sink) = 0;
 
   /** Reports a window's counts. Yields UsageSent. */
--- a/packages/fleet/src/duty_cmd.cc
+++ b/packages/fleet/src/duty_cmd.cc
@@ -10,6 +10,7 @@
 #include "fleet/fleet_cmd.h"
 #include "lease/lease_cmd.h"
 #include "lease/lease_func.h"
+#include "progress_read_cmd.h"
 #include "scaling_cmd.h"
 #include "serving/crash_evidence_func.h"
 #include "serving/crash_suspects_base.h"
@@ -106,7 +107,7 @@
     if (changed->held) {
       // The saved progress has counts of processes that ended before this node
       // received them.
-      effects.emplace_back(ReadProgress{});
+      WantProgress(state, now, effects);
       state.duties_gained_at = now;
     } else {
       effects.emplace_back(EndDutyCalls{});
@@ -224,7 +225,7 @@
     progress.suspects = serving::SelectForSave(*state.report.suspects);
     serving::SetAges(progress.suspects, now);
   }
-  if (now < state.next_save ||
+  if (now < state.next_save || state.progress_read.wanted ||
       (progress.levels.empty() && progress.usage.empty() &&
        progress.blocked_parts.empty() && progress.suspects.Empty())) {
     return;
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -12,6 +12,7 @@
 #include "fetch_cmd.h"
 #include "fleet/state_order_func.h"
 #include "forward_cmd.h"
+#include "progress_read_cmd.h"
 #include "rollout_cmd.h"
 #include "scaling_cmd.h"
 #include "server_list_cmd.h"
@@ -161,10 +162,21 @@
   // limit use as much as is refilled, so no refill is assumed for up to one
   // save period.
   age = std::max(milliseconds(0), age - kSavePeriod);
-  effects.emplace_back(RestoreQuotas{read.levels, age});
-  effects.emplace_back(LogChange{"quotas_restored",
-                                 "age " + std::to_string(age.count()) + " ms",
-                                 state.config_revision});
+  std::map<std::string, double> levels = read.levels;
+  if (read.from_earlier_era) {
+    // The use between the copy and the return of the store is lost: the
+    // customers may have used all that the levels allowed.
+    age = milliseconds(0);
+    for (auto& [customer, level] : levels) {
+      level = std::min(level, 0.0);
+    }
+  }
+  effects.emplace_back(RestoreQuotas{std::move(levels), age});
+  effects.emplace_back(LogChange{
+      "quotas_restored",
+      "age " + std::to_string(age.count()) + " ms" +
+          (read.from_earlier_era ? ", of an earlier era: used up" : ""),
+      state.config_revision, state.config_era});
 }
 
 }  // namespace
@@ -178,6 +190,7 @@
   this->lease.instance = this->settings.ip;
   this->lease.timing = this->settings.lease_timing;
   this->lease.first_start = this->settings.first_start;
+  this->progress_read.wanted = !this->settings.first_start;
   this->lease.generator.seed(this->settings.incarnation);
 }
 
@@ -262,8 +275,12 @@
             ApplyOrderAnswer(state, answer, now, effects);
           },
           [&](const ProgressRead& read) {
+            EndProgressRead(state, now);
             ApplySavedProgress(state, read, now, effects);
           },
+          [&](const ProgressReadFailed& failed) {
+            ApplyProgressReadFailed(state, failed, now, effects);
+          },
           [&](const RolloutsRead& read) {
             ApplyRolloutsRead(state, read, now, effects);
             ScheduleMessageNow(state, false, now);
@@ -292,6 +309,7 @@
             AdvanceRollouts(state, now, effects);
             SendMessage(state, now, effects);
             SendUrgentMessage(state, now, effects);
+            AdvanceProgressRead(state, now, effects);
             AdvanceDuties(state, now, effects);
           },
       },
--- a/packages/fleet/tests/clock_step_test.cc
+++ b/packages/fleet/tests/clock_step_test.cc
@@ -268,7 +268,11 @@
       this->saved = *save;
     } else if (const auto* restore = std::get_if<RestoreQuotas>(&effect)) {
       node.quotas->Restore(restore->levels, restore->age);
-    } else if (std::holds_alternative<ReadProgress>(effect) && this->saved) {
+    } else if (std::holds_alternative<ReadProgress>(effect)) {
+      if (!this->saved) {
+        this->Apply(i, ProgressReadFailed{ResultCode::kStoreNotFound, false});
+        return;
+      }
       this->Apply(
           i,
           ProgressRead{
--- a/packages/fleet/tests/duty_fixture.h
+++ b/packages/fleet/tests/duty_fixture.h
@@ -49,9 +49,13 @@
         .has_value();
   }
 
+  /** Answers the calls for the lease, and reads of progress: there is none. */
   void AnswerLease() {
     const std::vector<Effect> calls = this->effects;
     for (const Effect& effect : calls) {
+      if (std::holds_alternative<ReadProgress>(effect)) {
+        this->Apply(ProgressReadFailed{ResultCode::kStoreNotFound, false});
+      }
       const auto* call = std::get_if<LeaseCall>(&effect);
       if (call == nullptr) {
         continue;
@@ -64,6 +68,7 @@
         ++this->version;
         this->Apply(LeaseEvent{
             lease::LeaseWritten{kDutyLease, {std::to_string(this->version)}}});
+        this->AnswerLease();
       }
     }
   }
