Keep roll-outs through a return of the store from a copy

Cause: a roll-out request that the copy lacks counted as withdrawn, and a status was written on condition of a revision that named another state by then. Change: lists and statuses of roll-outs have the era; requests that the copy lacks stay for 5 s, lost statuses are written again, and a status of another era is a conflict. Requests move to rollout_table_requests.cc.

--- a/packages/fleet/src/rollout_cmd.cc
+++ b/packages/fleet/src/rollout_cmd.cc
@@ -34,7 +34,8 @@
                 std::vector<Effect>& effects) {
   for (rollout::Action& action : actions) {
     if (const auto* log = std::get_if<rollout::LogRollout>(&action)) {
-      effects.emplace_back(LogChange{log->event, log->detail, log->revision});
+      effects.emplace_back(LogChange{log->event, log->detail, log->revision,
+                                     state.rollouts.Era()});
       continue;
     }
     if (const auto permit = PermitOf(state, now)) {
@@ -66,7 +67,7 @@
                        TimePoint now,
                        std::vector<Effect>& effects) {
   std::vector<rollout::Action> actions;
-  state.rollouts.ApplyList(read.requests, now, actions);
+  state.rollouts.ApplyList(read.requests, now, actions, read.era);
   AddEffects(state, std::move(actions), now, effects);
 }
 
@@ -74,6 +75,9 @@
                          const RolloutChanged& change,
                          TimePoint now,
                          std::vector<Effect>& effects) {
+  if (change.era != state.rollouts.Era()) {
+    return;  // It does not follow the list.
+  }
   std::vector<rollout::Action> actions;
   if (change.removed) {
     state.rollouts.ApplyRemoval(change.request.service, change.request.revision,
--- a/packages/rollout/include/rollout/rollout_func.h
+++ b/packages/rollout/include/rollout/rollout_func.h
@@ -41,6 +41,9 @@
  * @return Empty if they are not valid. */
 std::optional<EvidenceList> DecodeEvidence(std::string_view bytes);
 
+/** Whether the status of the roll-out is written. */
+bool IsFinal(Phase phase);
+
 /** Adds a version that gets no requests; the oldest one is dropped if there are
  * too many. @return Whether it is new. */
 bool Ban(RolloutDecision& decision, const std::string& version);
--- a/packages/rollout/include/rollout/rollout_table_base.h
+++ b/packages/rollout/include/rollout/rollout_table_base.h
@@ -26,6 +26,7 @@
   std::string service;
   uint64_t revision = 0;
   RolloutStatus status;
+  uint64_t era = 0;  ///< Of the store for the revision.
 };
 
 /** Write a line to the event log. */
@@ -57,13 +58,22 @@
  */
 class RolloutTable {
  public:
-  /** Applies all requests in the store; others are withdrawn. */
+  /**
+   * Applies all requests in the store; others are withdrawn.
+   * @param list_era Era of the store. Lists of an earlier era than a known one
+   *     are ignored. In a later era the store may have lost requests: those
+   *     stay for some time, in which the operator writes them again.
+   */
   void ApplyList(const std::vector<RolloutRequest>& requests,
                  TimePoint now,
-                 std::vector<Action>& actions);
+                 std::vector<Action>& actions,
+                 uint64_t list_era = 0);
+
+  /** Era of the store of the last list. */
+  uint64_t Era() const { return this->era; }
 
-  /** Applies a request that was created or changed. Earlier revisions than the
-   * known one are ignored. */
+  /** Applies a request that was created or changed in the era of the last list.
+   * Earlier revisions than the known one are ignored. */
   void ApplyRequest(const RolloutRequest& request,
                     TimePoint now,
                     std::vector<Action>& actions);
@@ -113,6 +123,16 @@
     std::optional<RolloutRequest> request;
     std::optional<RolloutDecision> decision;
     uint64_t last_revision = 0;
+    uint64_t era = 0;  ///< Of the store for the request's revision.
+    /** Since when the store has been without the request that is known. */
+    std::optional<TimePoint> lost_since;
+    /** The request that the store has had since then. */
+    std::optional<RolloutRequest> stored;
+    /** Added to revisions in decisions, which would otherwise be lower than
+     * those of an earlier era. */
+    uint64_t revision_base = 0;
+    /** Since when decisions of other nodes have had another target. */
+    std::optional<TimePoint> overruled_since;
     EvidenceSum evidence;
     VersionTest test;
     bool call_pending = false;
@@ -160,10 +180,21 @@
   static void WriteIfDue(Entry& entry,
                          const Context& context,
                          std::vector<Action>& actions);
+  /** Prepares for the requests of a later era of the store. */
+  void BeginEra(const std::vector<RolloutRequest>& requests, TimePoint now);
+  /** Gives up requests that the store has lost and nobody has written again. */
+  void EndWaits(TimePoint now, std::vector<Action>& actions);
+  /** Begins a roll-out of the request's target if an earlier decision of
+   * another node has replaced it. */
+  static void BeginIfOverruled(Entry& entry,
+                               const HolderFacts& facts,
+                               TimePoint now,
+                               std::vector<Action>& actions);
   /** Drops what no request and no listed server needs. */
   void DropUnused(const HolderFacts& facts);
 
   std::map<std::string, Entry> entries;
+  uint64_t era = 0;  ///< Of the store for all revisions of requests.
   bool overflow_logged = false;
 };
 
--- a/packages/rollout/src/rollout_func.cc
+++ b/packages/rollout/src/rollout_func.cc
@@ -55,10 +55,6 @@
                              [](const TimeRow& row) { return IsValid(row); });
 }
 
-bool IsFinal(Phase phase) {
-  return phase == Phase::kDone || phase == Phase::kRolledBack;
-}
-
 /** Whether the target may get more requests in a phase than in another. */
 bool Raises(Phase next, Phase known) {
   const auto rank = [](Phase phase) {
@@ -159,6 +155,10 @@
   return evidence;
 }
 
+bool IsFinal(Phase phase) {
+  return phase == Phase::kDone || phase == Phase::kRolledBack;
+}
+
 bool Ban(RolloutDecision& decision, const std::string& version) {
   if (std::ranges::find(decision.banned, version) != decision.banned.end()) {
     return false;
--- a/packages/rollout/src/rollout_table_base.cc
+++ b/packages/rollout/src/rollout_table_base.cc
@@ -15,10 +15,6 @@
 
 using std::chrono::milliseconds;
 
-bool IsFinal(Phase phase) {
-  return phase == Phase::kDone || phase == Phase::kRolledBack;
-}
-
 /** Message periods after which a decision must not raise the share any more;
  * messages to other regions are sent every second period. */
 constexpr double kRaisePeriods = 2.5;
@@ -70,170 +66,6 @@
   SetPhase(entry, Phase::kStopped, reason, now, actions);
 }
 
-void RolloutTable::ApplyStatus(Entry& entry, std::vector<Action>& actions) {
-  const auto& status = entry.request->status;
-  RolloutDecision& decision = *entry.decision;
-  if (!status) {
-    return;
-  }
-  if (status->state == StatusState::kRolledBack) {
-    Ban(decision, status->target);
-  }
-  if (status->target != decision.target ||
-      status->state == StatusState::kRunning) {
-    return;
-  }
-  const Phase phase =
-      status->state == StatusState::kDone ? Phase::kDone : Phase::kRolledBack;
-  entry.wanted.reset();
-  SetPhase(entry, phase, "as the status says", decision.confirmed, actions);
-  if (phase == Phase::kDone) {
-    std::erase(decision.banned, decision.target);
-  }
-}
-
-void RolloutTable::Begin(Entry& entry,
-                         TimePoint now,
-                         std::vector<Action>& actions) {
-  const RolloutRequest& request = *entry.request;
-  RolloutDecision next;
-  if (entry.decision) {
-    next.banned = entry.decision->banned;
-    if (entry.decision->phase < Phase::kDone &&
-        entry.decision->target != request.target) {
-      Ban(next, entry.decision->target);
-    }
-  }
-  if (entry.decision && entry.decision->target == request.target) {
-    // The same target again: has to be later than its own withdrawal.
-    next.fencing = entry.decision->fencing;
-    next.sequence = entry.decision->sequence + 1;
-  }
-  next.service = request.service;
-  next.target = request.target;
-  next.revision = request.revision;
-  next.within_ms = static_cast<uint32_t>(
-      std::chrono::duration_cast<milliseconds>(request.within).count());
-  next.requested = now;
-  next.confirmed = now;
-  entry.decision = std::move(next);
-  entry.phase_since = now;
-  entry.evidence = {};
-  entry.test = VersionTest();
-  entry.wanted.reset();
-  entry.seen_other_version = false;
-  entry.logged.clear();
-  actions.emplace_back(LogRollout{"rollout_requested",
-                                  request.service + " to " + request.target,
-                                  request.revision});
-}
-
-void RolloutTable::ApplyRequest(const RolloutRequest& request,
-                                TimePoint now,
-                                std::vector<Action>& actions) {
-  if (!this->entries.contains(request.service) &&
-      this->entries.size() >= kMaxRollouts) {
-    if (!std::exchange(this->overflow_logged, true)) {
-      actions.emplace_back(LogRollout{
-          "rollout_ignored", "too many roll-outs at once", request.revision});
-    }
-    return;
-  }
-  Entry& entry = this->entries[request.service];
-  if (request.revision <= entry.last_revision) {
-    return;
-  }
-  const bool repeated = !entry.request;
-  entry.last_revision = request.revision;
-  entry.request = request;
-  if (!request.Readable() || !IsUsableName(request.service) ||
-      !IsUsableName(request.target)) {
-    LogOnce(entry, "rollout_unreadable", "missing or invalid field", actions);
-    entry.request->target.clear();
-    if (entry.decision && !IsFinal(entry.decision->phase)) {
-      SetPhase(entry, Phase::kStopped, "request unreadable", now, actions);
-    }
-    return;
-  }
-  const bool same = entry.decision && entry.decision->target == request.target;
-  const bool withdrawn =
-      same && repeated && entry.decision->phase == Phase::kStopped;
-  if (!same || withdrawn) {
-    Begin(entry, now, actions);
-  }
-  ApplyStatus(entry, actions);
-}
-
-void RolloutTable::ApplyRemoval(const std::string& service,
-                                uint64_t revision,
-                                std::vector<Action>& actions) {
-  const auto found = this->entries.find(service);
-  if (found == this->entries.end() || revision < found->second.last_revision ||
-      !found->second.request) {
-    return;
-  }
-  Entry& entry = found->second;
-  entry.last_revision = std::max(revision, entry.last_revision);
-  entry.request.reset();
-  entry.wanted.reset();
-  if (entry.decision && !IsFinal(entry.decision->phase)) {
-    SetPhase(entry, Phase::kStopped, "withdrawn", entry.decision->confirmed,
-             actions);
-  }
-}
-
-void RolloutTable::ApplyList(const std::vector<RolloutRequest>& requests,
-                             TimePoint now,
-                             std::vector<Action>& actions) {
-  std::set<std::string> listed;
-  for (const RolloutRequest& request : requests) {
-    listed.insert(request.service);
-    this->ApplyRequest(request, now, actions);
-  }
-  for (auto& [service, entry] : this->entries) {
-    if (!listed.contains(service)) {
-      this->ApplyRemoval(service, entry.last_revision, actions);
-    }
-  }
-}
-
-void RolloutTable::ApplyWritten(const WriteStatus& write,
-                                ResultCode code,
-                                const std::optional<RolloutRequest>& current,
-                                TimePoint now,
-                                std::vector<Action>& actions) {
-  /** Time until a write is repeated: above a store call, and several tries
-   * within the shortest within_s. */
-  constexpr milliseconds kRetryPeriod(300);
-  const auto found = this->entries.find(write.service);
-  if (found == this->entries.end()) {
-    return;
-  }
-  Entry& entry = found->second;
-  entry.call_pending = false;
-  entry.next_write = now + kRetryPeriod;
-  actions.emplace_back(LogRollout{"rollout_status_written",
-                                  write.service + " to " + write.status.target +
-                                      " result " +
-                                      std::to_string(static_cast<int>(code)),
-                                  write.revision});
-  if (code == ResultCode::kStoreNotFound) {
-    this->ApplyRemoval(write.service, entry.last_revision, actions);
-    return;
-  }
-  if (current && current->service == write.service) {
-    this->ApplyRequest(*current, now, actions);
-    return;
-  }
-  if (code == ResultCode::kOk && entry.request &&
-      entry.request->revision == write.revision) {
-    // The revision after the write is not known; the watch delivers it before
-    // the next write is due, or that write gets a conflict with the object.
-    entry.request->status = write.status;
-    ApplyStatus(entry, actions);
-  }
-}
-
 bool RolloutTable::MergeDecisions(const DecisionList& told,
                                   Duration message_period,
                                   TimePoint now) {
@@ -302,6 +134,7 @@
                            TimePoint now,
                            std::vector<Action>& actions) {
   const size_t actions_before = actions.size();
+  this->EndWaits(now, actions);
   for (auto& [service, entry] : this->entries) {
     if (!entry.decision) {
       continue;
@@ -323,11 +156,16 @@
       entry.wanted.reset();
       continue;
     }
-    if (!entry.request || !entry.request->Readable() ||
-        entry.request->target != entry.decision->target) {
+    if (!entry.request || !entry.request->Readable()) {
+      entry.decision->confirmed = now;
+      continue;
+    }
+    if (entry.request->target != entry.decision->target) {
       entry.decision->confirmed = now;
+      BeginIfOverruled(entry, facts, now, actions);
       continue;
     }
+    entry.overruled_since.reset();
     if (versions == facts.versions.end()) {
       LogOnce(entry, "rollout_ignored", "unknown service " + service, actions);
       continue;
@@ -492,7 +330,8 @@
 void RolloutTable::WriteIfDue(Entry& entry,
                               const Context& context,
                               std::vector<Action>& actions) {
-  if (!entry.wanted || entry.call_pending || context.now < entry.next_write) {
+  if (!entry.wanted || entry.call_pending || entry.lost_since ||
+      context.now < entry.next_write) {
     return;
   }
   const auto& status = entry.request->status;
@@ -502,8 +341,8 @@
     return;
   }
   entry.call_pending = true;
-  actions.emplace_back(
-      WriteStatus{entry.request->service, entry.request->revision, wanted});
+  actions.emplace_back(WriteStatus{entry.request->service,
+                                   entry.request->revision, wanted, entry.era});
 }
 
 void RolloutTable::DropUnused(const HolderFacts& facts) {
