--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -330,6 +330,7 @@
 
   Attempt next;
   next.server = server;
+  next.version = server->server.version;
   next.inputs = this->choice_inputs;
   next.started = now;
   next.last_progress = now;
@@ -456,6 +457,7 @@
       EventLevel::kWarning, "attempt_failed",
       {{"id", this->request.facts.attempt_id},
        {"server", server->server.id},
+       {"server_version", this->attempt->version},
        {"service", this->service_name},
        {"failure", FailureName(failure)},
        {"status", this->attempt->facts ? this->attempt->facts->status : 0},
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -136,6 +136,9 @@
   /** An attempt to have the request served by one server. */
   struct Attempt {
     std::shared_ptr<PooledServer> server;
+    /** Of the server's software when the attempt began; the server may be
+     * listed with another one after a restart. */
+    std::string version;
     std::shared_ptr<UpstreamConnection> connection;
     ChoiceInputs inputs;  ///< Of the choice of this server.
     TimePoint started;
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -98,8 +98,10 @@
     this->core.route_durations[this->route->name].Add(now - this->arrived);
   }
   std::string server_id;
+  std::string server_version;
   if (this->attempt) {
     server_id = this->attempt->server->server.id;
+    server_version = this->attempt->version;
     this->ReleaseAttempt();
   }
   this->DropBuffered();
@@ -115,6 +117,7 @@
        {"config", this->config == nullptr ? 0 : this->config->version},
        {"servers_revision", this->core.servers_revision},
        {"server", server_id},
+       {"server_version", server_version},
        {"sends", this->sends},
        {"events", this->events},
        {"first_event_ms", first_event},
