Remember which version began each recent stream

Cause: nothing kept which software version began a stream once its node was gone, and versions of another type or of more than the bound counted as none. Change: StreamRecords: while a service has one version, that one; with several, nodes tell each other their streams. The summary's field store_followed goes in here and is set when the saves are.

--- a/packages/serving/include/serving/peer_extension_type.h
+++ b/packages/serving/include/serving/peer_extension_type.h
@@ -23,6 +23,7 @@
   kForwarding = 5,       ///< One byte of ForwardingFlag.
   kServerLimits = 6,     ///< Limits that servers have named.
   kStateVersions = 7,    ///< Eras and version of the sender's state.
+  kStreamVersions = 8,   ///< Software versions that began streams.
 };
 
 /** Bits of the payload of kForwarding. A node that sends this extension
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -191,7 +191,9 @@
   uint32_t own_ip = 0;              ///< PackIp() of this node.
   std::vector<uint32_t> heard_ips;  ///< PackIp() of the nodes not silent.
   double silent_share = 0;          ///< Share of nodes that may be unreachable.
-  int64_t wall_offset_ms = 0;       ///< Time of day minus the boot clock.
+  /** This node, or one that is heard, follows the store. */
+  bool store_followed = false;
+  int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
   /** Quota units admitted by other nodes since the last summary, by customer;
    * negative to correct an earlier estimate that was too high. */
   std::map<NameHash, double> admitted;
--- a/packages/serving/include/serving/server_type.h
+++ b/packages/serving/include/serving/server_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,6 +14,10 @@
 
 namespace boragewharf::serving {
 
+/** Longest version that nodes tell each other and save. A service with a longer
+ * one has no complete history outside of the node. */
+inline constexpr size_t kMaxVersionBytes = 128;
+
 /** A backend server in the platform's list. */
 struct BackendServer {
   std::string id;       ///< Changes with most restarts of the server.
@@ -23,7 +28,8 @@
   uint64_t started = 0;      ///< Start time in Unix milliseconds.
   bool draining = false;     ///< Finishes its requests and gets no new ones.
   bool reclaimable = false;  ///< The cloud provider may reclaim it.
-  std::string version;       ///< Of its software; empty if not stated.
+  /** Of its software, of at most kMaxVersionBytes; empty if not stated. */
+  std::string version;
   /** Time from the entry's last change until the server has warmed up. */
   uint32_t cold_left_ms = 0;
 
