Let streams go on only at the version that began them

Change: the version is bound with the first event for the client; repeats, moves, silent servers, requests beyond limits and copied prompt parts stay within it. A take-up is looked up by the id in Resumes; an unknown version, or one that no server has any more, is refused at once. Streams that go on come before new ones of their priority and are offered to servers that look full. An attempt at a stopping server without an event is given up only if its retry is allowed.

--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -7,7 +7,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -40,6 +43,14 @@
   BrokenRequest request;
 };
 
+/** What a request requires of a server. */
+struct ServerRequirements {
+  std::string_view service;
+  /** Version of the software; empty: any. */
+  std::optional<std::string_view> version;
+  std::vector<std::string> excluded;  ///< Ids of servers.
+};
+
 /** A backend server and this node's state for it. */
 struct PooledServer {
   serving::BackendServer server;
@@ -111,24 +122,26 @@
   /** Server by id, or nullptr. */
   std::shared_ptr<PooledServer> Find(std::string_view id) const;
 
-  /** Servers of a service to which this node may send a request now, except
-   * @p excluded. */
+  /** Servers to which this node may send a request now. A required version
+   * comes before the phase of a roll-out. */
   std::vector<std::shared_ptr<PooledServer>> Candidates(
-      std::string_view service,
-      const std::vector<std::string>& excluded,
+      const ServerRequirements& required,
       TimePoint now) const;
 
   /** Candidates(), also those that would get more than their limit. */
   std::vector<std::shared_ptr<PooledServer>> CandidatesBeyondLimits(
-      std::string_view service,
-      const std::vector<std::string>& excluded,
+      const ServerRequirements& required,
       TimePoint now) const;
 
+  /** Whether a server is listed that meets the requirements and is not
+   * stopping, even if it wants no requests now. */
+  bool Serves(const ServerRequirements& required) const;
+
   /**
-   * Time until the first server of a service accepts requests again.
+   * Time until the first server accepts requests again.
    * @return Empty if one accepts requests now, or none will.
    */
-  std::optional<Duration> TimeUntilCandidate(std::string_view service,
+  std::optional<Duration> TimeUntilCandidate(const ServerRequirements& required,
                                              TimePoint now) const;
 
   /** Whether a server is leaving, by its own answers or another node's word. */
@@ -212,10 +225,12 @@
 
  private:
   std::vector<std::shared_ptr<PooledServer>> FindCandidates(
-      std::string_view service,
-      const std::vector<std::string>& excluded,
+      const ServerRequirements& required,
       bool within_limits,
       TimePoint now) const;
+  /** Whether a server meets the requirements and is not stopping. */
+  bool Meets(const PooledServer& server,
+             const ServerRequirements& required) const;
   serving::Distance DistanceTo(std::string_view other_zone) const;
   void ConfirmCrash(PooledServer& server, TimePoint now);
   /** Opens a connection to see whether the server still accepts any; a refused
@@ -227,6 +242,8 @@
   std::string region;
   std::map<std::string, std::string> zone_regions;
   std::map<std::string, std::shared_ptr<PooledServer>, std::less<>> servers;
+  /** Services with a server that states its version, also a removed one. */
+  std::set<std::string, std::less<>> versioned_services;
   std::unordered_map<serving::NameHash, PooledServer*> by_hash;
   std::deque<serving::PrefixSend> own_prefixes;
   serving::LeavingServers leaving;
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include "base/counter_base.h"
 #include "eventlog/event_log_base.h"
@@ -31,6 +32,8 @@
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
 #include "serving/shared_state_base.h"
+#include "serving/stream_records_base.h"
+#include "serving/stream_versions_base.h"
 
 namespace boragewharf::relay {
 
@@ -107,6 +110,12 @@
   /** Ends the requests that are still in progress when the process exits. */
   void EndRequests();
 
+  /** Uses @p versions, which must outlive this object, in place of what this
+   * node and the others remember. */
+  void SetStreamVersions(serving::StreamVersions& versions) {
+    this->stream_versions = &versions;
+  }
+
   /** Load, quota use, demand, usage and crash data for the other nodes. */
   serving::TrafficReport Report(TimePoint now);
 
@@ -181,7 +190,7 @@
   /** Ends the requests that wait for a server and must not run any more. */
   void AbandonBlockedRequests();
 
-  /** Restarts the requests in waiting_for_config. Those that still have to wait
+  /** Restarts the requests in waiting_requests. Those that still have to wait
    * add themselves again. */
   void StartWaitingRequests();
 
@@ -234,11 +243,14 @@
   std::vector<serving::AttemptObserver*> observers;
   /** Members that exchange state with other nodes; not owned. */
   std::vector<serving::SharedState*> shared_states;
+  serving::StreamRecords stream_records;
+  serving::StreamVersions* stream_versions = &this->stream_records;
   std::mt19937_64 generator;
   std::unordered_map<httpio::ServerConnection*, std::shared_ptr<Exchange>>
       exchanges;
-  /** Requests that arrived before the first configuration and server list. */
-  std::vector<std::shared_ptr<Exchange>> waiting_for_config;
+  /** Requests that wait for the first configuration and server list, or for the
+   * versions of streams. */
+  std::vector<std::shared_ptr<Exchange>> waiting_requests;
   /** Requests that began to run, by usage window and customer. */
   std::map<int64_t, std::map<std::string, uint32_t>> usage;
   /** Demand for a service at this node. */
--- a/packages/relay/src/exchange_answer.cc
+++ b/packages/relay/src/exchange_answer.cc
@@ -132,6 +132,7 @@
   if (now - this->first_event_at >= kCrashOnsetTime) {
     this->ExonerateParts(now);
   }
+  this->RecordStreamBegin(now);
   this->SendStreamHead();
   this->SendChunk(whole);
   if (this->client->PendingBytes() > kMaxClientPendingBytes) {
@@ -286,6 +287,7 @@
   }
   this->SendStreamHead();
   this->client->Send("0\r\n\r\n");
+  this->RecordStreamEnd(BootClock::now());
   this->Finish("served", this->attempt->facts->status);
 }
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -23,10 +23,6 @@
  * ms. */
 constexpr Milliseconds kRetryAfterFull(400);
 
-/** Time that requests wait for the first configuration and server list. A node
- * reads them within a few dozen ms of its start if the store answers. */
-constexpr Milliseconds kConfigWait(400);
-
 /** Retry-After before the first configuration and server list are known. */
 constexpr Milliseconds kRetryAfterNotReady(500);
 
@@ -48,10 +44,6 @@
 /** Failed servers after which a request that could not be sent is given up. */
 constexpr size_t kMaxUnreachableAttempts = 3;
 
-/** Engine urgency levels per priority level, and the highest urgency. */
-constexpr uint32_t kUrgencyStep = 2;
-constexpr uint32_t kMaxUrgency = 9;
-
 std::string HostName(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
   std::transform(name.begin(), name.end(), name.begin(),
@@ -119,13 +111,14 @@
 
 void Exchange::Begin() {
   if (!this->core.Ready() && !this->core.shutting_down &&
-      BootClock::now() - this->arrived < kConfigWait) {
-    this->core.waiting_for_config.push_back(this->shared_from_this());
+      BootClock::now() - this->arrived < kStartWait) {
+    this->core.waiting_requests.push_back(this->shared_from_this());
     return;
   }
   this->config = this->core.config;
   if (this->CancelIfClientGone() || !this->CheckRequest() ||
-      !this->CheckPlannedStop() || !this->CheckCrashes() || !this->Admit()) {
+      !this->CheckStreamOrigin() || !this->CheckPlannedStop() ||
+      !this->CheckCrashes() || !this->Admit()) {
     return;
   }
   if (!this->TryServer(false)) {
@@ -138,11 +131,13 @@
 
 void Exchange::RefuseWithoutServer() {
   const TimePoint now = BootClock::now();
-  if (!this->core.pool.Candidates(this->service_name, {}, now).empty()) {
+  ServerRequirements required = this->Required();
+  required.excluded.clear();
+  if (!this->core.pool.Candidates(required, now).empty()) {
     this->Refuse(503, kRetryAfterFull, "servers_full");
     return;
   }
-  const auto wait = this->core.pool.TimeUntilCandidate(this->service_name, now);
+  const auto wait = this->core.pool.TimeUntilCandidate(required, now);
   if (wait) {
     this->Refuse(503, std::chrono::ceil<Milliseconds>(*wait),
                  "servers_want_no_requests");
@@ -243,18 +238,18 @@
 
 std::shared_ptr<PooledServer> Exchange::ChooseServer() {
   const TimePoint now = BootClock::now();
-  auto candidates = this->core.pool.Candidates(this->service_name,
-                                               this->excluded_servers, now);
+  const ServerRequirements required = this->Required();
+  auto candidates = this->core.pool.Candidates(required, now);
   if (candidates.empty() && this->answer_started) {
     // The client would lose the response that it has begun to receive.
-    candidates = this->core.pool.CandidatesBeyondLimits(
-        this->service_name, this->excluded_servers, now);
+    candidates = this->core.pool.CandidatesBeyondLimits(required, now);
   }
   serving::RouteRequest wanted;
   wanted.prompt_tokens = this->request.facts.prompt_tokens;
   wanted.shared_tokens = serving::SharedTokens(this->request.facts);
   wanted.body_bytes = this->body->size();
   wanted.shared_part = serving::SharedPartId(this->request.facts);
+  wanted.urgent = this->stream_version.has_value();
   std::vector<serving::ServerView> views;
   views.reserve(candidates.size());
   for (const auto& candidate : candidates) {
@@ -312,13 +307,11 @@
   const TimePoint end = this->EffectiveDeadline();
   fields.deadline = std::max(
       Milliseconds(1), std::chrono::duration_cast<Milliseconds>(end - now));
-  uint32_t priority = this->route->priority;
   if (this->customer != nullptr) {
     fields.customer = this->customer->name;
-    priority = this->customer->priority.value_or(priority);
   }
   if (this->service != nullptr && this->service->engine) {
-    fields.urgency = std::min(kMaxUrgency, kUrgencyStep * (priority + 1));
+    fields.urgency = this->Urgency();
   }
   fields.last_event_id = this->last_event_id
                              ? this->last_event_id
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -22,6 +22,11 @@
 
 namespace boragewharf::relay {
 
+/** Time that requests wait for the first configuration and server list, or for
+ * the versions of streams. A node reads them within a few dozen ms of its start
+ * if the store answers. */
+inline constexpr std::chrono::milliseconds kStartWait(400);
+
 /** Minimum time left before the deadline for a request to be sent again. */
 inline constexpr std::chrono::milliseconds kMinResendTime(150);
 
@@ -48,8 +53,9 @@
 
   /**
    * Checks the request and sends it to a server, or refuses it. If the
-   * configuration and the servers are not known yet, the request waits in
-   * TrafficCore::waiting_for_config, from where Start() is called again.
+   * configuration, the servers or the version of a resumed stream are not known
+   * yet, the request waits in TrafficCore::waiting_requests, from where Start()
+   * is called again.
    */
   void Start();
 
@@ -168,6 +174,31 @@
    * socket. */
   bool CancelIfClientGone();
   bool CheckRequest();
+  /** Looks up the version that the servers of a resumed stream must have.
+   * Refuses the request if that is not known or none serves, or lets it wait
+   * as Start() says; returns whether it may go on. */
+  bool CheckStreamOrigin();
+  /** Lets the request wait until its stream may be known, but not longer than
+   * @p longest after its arrival; returns whether it waits. */
+  bool WaitForStreamOrigin(Duration longest);
+  /** Records that the stream is unknown if @p told_within, the time in which
+   * its version could have been told, has passed since the request arrived. */
+  void RecordUnknownStream(Duration told_within);
+  /** Service and version that began the resumed stream. */
+  serving::StreamVersion FindStreamOrigin();
+  /** Binds the stream to the version of the attempt, whose first event is
+   * about to be sent to the client. */
+  void RecordStreamBegin(TimePoint now);
+  /** Records that the client has been sent the whole stream, unless a part of
+   * it still waits for a slow client. */
+  void RecordStreamEnd(TimePoint now);
+  /** Attempt id of the request that began the stream; empty if the stream
+   * can't be taken up. */
+  std::string_view StreamId() const;
+  /** What the next server of the request has to meet. */
+  ServerRequirements Required() const;
+  /** Urgency of the request at an engine. */
+  uint32_t Urgency() const;
   /** Refuses a request that crashes the servers that run it. */
   bool CheckCrashes();
   /** Time until the parts of the prompt may be sent again; empty if now. */
@@ -270,6 +301,8 @@
   bool usage_counted = false;
   bool done = false;
   std::optional<uint64_t> last_event_id;
+  /** Version that began the stream; empty until its client has an event. */
+  std::optional<std::string> stream_version;
   uint32_t events = 0;
   TimePoint first_event_at;
   serving::EventSplitter splitter;
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -118,6 +118,8 @@
        {"servers_revision", this->core.servers_revision},
        {"server", server_id},
        {"server_version", server_version},
+       {"stream_version", this->stream_version.value_or("")},
+       {"resumes", this->request.facts.resumes},
        {"sends", this->sends},
        {"events", this->events},
        {"first_event_ms", first_event},
--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -62,8 +62,10 @@
   }
   if (!this->attempt->first_event) {
     // Nothing was generated yet; another server can start from the beginning.
+    // Without one, the server may still answer before it stops.
     if (*server.stops_at - now < kForcedMoveTime && this->attempt->sent &&
-        this->MayResend(now)) {
+        this->MayResend(now) && this->TakeResend(now)) {
+      this->attempt->retry_taken = true;
       this->FailAttempt(serving::AttemptFailure::kTimedOut);
     }
     return;
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <set>
 
 namespace boragewharf::relay {
 namespace {
@@ -146,10 +145,14 @@
            now - pooled.unlisted_at > kRemovedServerRetention;
   });
   this->by_hash.clear();
+  this->versioned_services.clear();
   std::set<serving::ServerLifetime> present;
   for (const auto& [id, pooled] : this->servers) {
     this->by_hash[serving::HashName(id)] = pooled.get();
     present.insert(LifetimeOf(*pooled));
+    if (!pooled->server.version.empty()) {
+      this->versioned_services.insert(pooled->server.service);
+    }
   }
   this->leaving.Retain(present);
   this->rate_limits.Retain(present);
@@ -183,11 +186,12 @@
   return facts.leaving && this->leaving.Mark(LifetimeOf(pooled), now);
 }
 
-std::optional<Duration> ServerPool::TimeUntilCandidate(std::string_view service,
-                                                       TimePoint now) const {
+std::optional<Duration> ServerPool::TimeUntilCandidate(
+    const ServerRequirements& required,
+    TimePoint now) const {
   std::optional<Duration> least;
   for (const auto& [id, pooled] : this->servers) {
-    if (pooled->server.service != service || this->IsStopping(*pooled)) {
+    if (!this->Meets(*pooled, required)) {
       continue;
     }
     const Duration limited =
@@ -242,46 +246,62 @@
   return found == this->servers.end() ? nullptr : found->second;
 }
 
+bool ServerPool::Meets(const PooledServer& pooled,
+                       const ServerRequirements& required) const {
+  const serving::BackendServer& server = pooled.server;
+  // Servers that state no version may be of any once others state theirs.
+  const bool unknown = required.version && required.version->empty() &&
+                       this->versioned_services.contains(required.service);
+  return server.service == required.service && !unknown &&
+         (!required.version || server.version == *required.version) &&
+         !this->IsStopping(pooled) &&
+         std::find(required.excluded.begin(), required.excluded.end(),
+                   server.id) == required.excluded.end();
+}
+
+bool ServerPool::Serves(const ServerRequirements& required) const {
+  return std::any_of(
+      this->servers.begin(), this->servers.end(),
+      [&](const auto& entry) { return this->Meets(*entry.second, required); });
+}
+
 std::vector<std::shared_ptr<PooledServer>> ServerPool::Candidates(
-    std::string_view service,
-    const std::vector<std::string>& excluded,
+    const ServerRequirements& required,
     TimePoint now) const {
-  return this->FindCandidates(service, excluded, true, now);
+  return this->FindCandidates(required, true, now);
 }
 
 std::vector<std::shared_ptr<PooledServer>> ServerPool::CandidatesBeyondLimits(
-    std::string_view service,
-    const std::vector<std::string>& excluded,
+    const ServerRequirements& required,
     TimePoint now) const {
-  return this->FindCandidates(service, excluded, false, now);
+  return this->FindCandidates(required, false, now);
 }
 
 std::vector<std::shared_ptr<PooledServer>> ServerPool::FindCandidates(
-    std::string_view service,
-    const std::vector<std::string>& excluded,
+    const ServerRequirements& required,
     bool within_limits,
     TimePoint now) const {
   std::vector<std::shared_ptr<PooledServer>> found;
   for (const auto& [id, pooled] : this->servers) {
-    if (pooled->server.service != service || this->IsStopping(*pooled) ||
-        now < pooled->no_requests_until ||
-        (within_limits &&
-         !this->rate_limits.Allows(LifetimeOf(*pooled), now))) {
-      continue;
-    }
-    if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
-      continue;
+    if (this->Meets(*pooled, required) &&
+        now >= pooled->no_requests_until &&
+        (!within_limits ||
+         this->rate_limits.Allows(LifetimeOf(*pooled), now))) {
+      found.push_back(pooled);
     }
-    found.push_back(pooled);
   }
-  if (this->rollout_agent != nullptr && !found.empty()) {
+  // What began at a version can't go on at another one, whatever the phase of
+  // a roll-out; to refuse it would only lose what its client already has.
+  const bool selects =
+      this->rollout_agent != nullptr && !required.version && !found.empty();
+  if (selects) {
     std::vector<const serving::BackendServer*> listed;
     listed.reserve(found.size());
     for (const auto& pooled : found) {
       listed.push_back(&pooled->server);
     }
     const std::vector<bool> selected =
-        this->rollout_agent->Select(service, listed, now);
+        this->rollout_agent->Select(required.service, listed, now);
     size_t index = 0;
     std::erase_if(found, [&](const auto&) { return !selected[index++]; });
   }
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -83,7 +83,9 @@
       engine_policy(serving::MakeExpectedDelayPolicy(std::random_device{}())),
       plain_policy(serving::MakeLeastRunningPolicy()),
       observers{&this->server_speeds},
-      shared_states{&this->server_speeds, &this->pool.RateLimits()},
+      shared_states{&this->server_speeds, &this->pool.RateLimits(),
+                    &this->stream_records},
+      stream_records(limits.first_start, BootClock::now()),
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {
   if (limits.rollout) {
@@ -96,7 +98,7 @@
 
 TrafficCore::~TrafficCore() {
   // Requests in progress use the other members when they end.
-  this->waiting_for_config.clear();
+  this->waiting_requests.clear();
   this->exchanges.clear();
 }
 
@@ -104,6 +106,7 @@
     std::shared_ptr<const serving::ServingConfig> next) {
   this->config = std::move(next);
   this->quotas.Configure(*this->config, BootClock::now());
+  this->stream_records.SetConfig(*this->config);
   std::erase_if(this->route_durations, [&](const auto& known) {
     return std::ranges::none_of(this->config->routes, [&](const auto& route) {
       return route.name == known.first;
@@ -114,7 +117,7 @@
 
 void TrafficCore::StartWaitingRequests() {
   // Requests that still have to wait add themselves to the list again.
-  for (const auto& exchange : std::exchange(this->waiting_for_config, {})) {
+  for (const auto& exchange : std::exchange(this->waiting_requests, {})) {
     if (!exchange->Done()) {
       exchange->Start();
     }
@@ -128,6 +131,7 @@
   const TimePoint now = BootClock::now();
   this->pool.Update(*next, now);
   this->server_speeds.SetServers(*next, now);
+  this->stream_records.SetServers(*next, now);
   this->ApplyServerSpeeds();
   if (this->rollout_agent) {
     this->rollout_agent->SetServers(*next);
@@ -218,6 +222,12 @@
       .Set(static_cast<int64_t>(this->pool.RateLimits().InvalidReports()));
   this->counters.Get("speed_reports_invalid", {}, MetricKind::kGauge)
       .Set(static_cast<int64_t>(this->server_speeds.InvalidReports()));
+  this->counters.Get("stream_reports_invalid", {}, MetricKind::kGauge)
+      .Set(static_cast<int64_t>(this->stream_records.InvalidReports()));
+  this->counters.Get("streams_remembered", {}, MetricKind::kGauge)
+      .Set(static_cast<int64_t>(this->stream_records.Size()));
+  this->counters.Get("stream_versions_complete", {}, MetricKind::kGauge)
+      .Set(this->stream_records.Complete() ? 1 : 0);
 }
 
 int64_t TrafficCore::ClusterTimeMs(TimePoint now) const {
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -33,8 +33,10 @@
   uint32_t max_output_tokens = 0;         ///< Limit of generated tokens.
   uint32_t length_hint = 0;               ///< Estimated output tokens; 0: none.
   std::optional<uint64_t> last_event_id;  ///< The client resumes after it.
-  std::vector<PromptPart> parts;          ///< In the order of the prompt.
-  std::vector<HeaderField> forwarded;     ///< Passed on to the server.
+  /** Attempt id of the request that began the resumed stream, or empty. */
+  std::string resumes;
+  std::vector<PromptPart> parts;       ///< In the order of the prompt.
+  std::vector<HeaderField> forwarded;  ///< Passed on to the server.
 };
 
 /** Head of a client request. */
--- a/packages/serving/include/serving/routing_policy_base.h
+++ b/packages/serving/include/serving/routing_policy_base.h
@@ -40,7 +40,9 @@
   uint32_t shared_tokens = 0;  ///< Tokens of the shared parts.
   uint64_t shared_part = 0;    ///< Id of the last shared part; 0: none.
   uint64_t body_bytes = 0;
-  bool urgent = false;  ///< Served before other queued requests.
+  /** Served before other queued requests: worth an attempt at a server that
+   * looks full. */
+  bool urgent = false;
   /** Prompt tokens that a server reads per millisecond; empty if unknown. */
   std::optional<double> prefill_tokens_per_ms;
   /** Milliseconds to copy the KV memory of a token from another server of the
@@ -82,8 +84,8 @@
  * speed; traffic between regions is
  * counted as additional time. The policy compares the servers that own or have
  * cached the prefix with a few random other servers. A server without the
- * prefix copies it from one that has it, if that is cheaper than computing it
- * again.
+ * prefix copies it from one of its software version that has it, if that is
+ * cheaper than computing it again.
  * @param seed For the random choice; must differ between nodes.
  */
 std::unique_ptr<RoutingPolicy> MakeExpectedDelayPolicy(uint64_t seed);
--- a/packages/serving/src/routing_policy.cc
+++ b/packages/serving/src/routing_policy.cc
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <random>
+#include <string_view>
 
 #include "serving/prefill_speed_base.h"
 #include "serving/routing_policy_base.h"
@@ -156,17 +158,31 @@
   return owners;
 }
 
-/** The nearest server that has cached the prefix; others copy it from there. */
-std::optional<size_t> FindCopySource(std::span<const ServerView> candidates) {
-  std::optional<size_t> source;
+/** Servers from which others copy a prefix. */
+using CopySources = std::map<std::string_view, size_t>;
+
+/** Of each software version, the nearest server that has cached the prefix:
+ * servers can't use what another version has computed. */
+CopySources FindCopySources(std::span<const ServerView> candidates) {
+  CopySources sources;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const ServerView& view = candidates[i];
-    if (view.prefix_cached &&
-        (!source || view.distance < candidates[*source].distance)) {
-      source = i;
+    if (!view.prefix_cached) {
+      continue;
+    }
+    const auto found = sources.try_emplace(view.server->version, i).first;
+    if (view.distance < candidates[found->second].distance) {
+      found->second = i;
     }
   }
-  return source;
+  return sources;
+}
+
+/** The server from which @p view would copy the prefix. */
+std::optional<size_t> SourceFor(const CopySources& sources,
+                                const ServerView& view) {
+  const auto found = sources.find(view.server->version);
+  return found == sources.end() ? std::nullopt : std::optional(found->second);
 }
 
 /** How a server obtains the shared parts of a prompt, and the cost. */
@@ -209,10 +225,10 @@
       const RouteRequest& request,
       std::span<const ServerView> candidates) override {
     PrefixOwners owners;
-    std::optional<size_t> source;
+    CopySources sources;
     if (request.shared_part != 0) {
       owners = FindOwners(request, candidates);
-      source = FindCopySource(candidates);
+      sources = FindCopySources(candidates);
     }
     const uint32_t own_tokens =
         request.prompt_tokens -
@@ -221,12 +237,13 @@
     double best_cost = 0;
     for (const size_t i : this->Shortlist(request, candidates, owners)) {
       const ServerView& view = candidates[i];
+      const std::optional<size_t> source = SourceFor(sources, view);
       PrefixCost prefix;
       if (!view.prefix_cached) {
         prefix = CostOfPrefix(request, view,
                               source ? &candidates[*source] : nullptr);
       }
-      if (!source && (owners.first == i || owners.other_region == i)) {
+      if (sources.empty() && (owners.first == i || owners.other_region == i)) {
         // No server has the prefix, so one has to compute it anyway. Other
         // requests look for it at its owners.
         prefix.price_ms = 0;
@@ -261,9 +278,11 @@
     std::vector<size_t> other_region;
     std::vector<size_t> other_length;
     std::vector<size_t> avoided;
+    std::vector<size_t> full;
     for (size_t i = 0; i < candidates.size(); ++i) {
       const ServerView& view = candidates[i];
       if (IsFull(view)) {
+        full.push_back(i);
         continue;
       }
       if (view.avoided) {
@@ -287,7 +306,10 @@
     std::sample(other_length.begin(), other_length.end(),
                 std::back_inserter(shortlist), kOtherLengthSamples,
                 this->generator);
-    return shortlist.empty() ? avoided : shortlist;
+    if (!shortlist.empty()) {
+      return shortlist;
+    }
+    return avoided.empty() && request.urgent ? full : avoided;
   }
 
   std::mt19937_64 generator;
