Save the versions of streams, and read them after a restart

Cause: after all nodes were killed, no process knew which version began a stream. Change: each node saves its history of versions and, with several versions, its streams, at most four times a second and 200 times for all nodes; a process that is restarted reads the saves of all. The timeout of a read doubles with each failure. After a freeze or a loss of contact the saves are read again; the summary says whether the store is followed.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -19,6 +19,7 @@
 #include "fleet/duty_progress_type.h"
 #include "fleet/peer_table_base.h"
 #include "fleet/scaling_policy_base.h"
+#include "fleet/stream_save_type.h"
 #include "lease/lease_type.h"
 #include "lease/permit_base.h"
 #include "rollout/rollout_table_base.h"
@@ -228,6 +229,7 @@
                            RolloutsRead,
                            RolloutChanged,
                            RolloutStatusWritten,
+                           StreamEvent,
                            StopRequested,
                            Tick>;
 
@@ -375,6 +377,7 @@
                             RestoreBlockedParts,
                             RestoreSuspects,
                             WriteRolloutStatus,
+                            StreamEffect,
                             LogChange>;
 
 // State.
@@ -468,6 +471,9 @@
   bool store_state_known = false;
   /** Latest era of the store that this node or another one has learnt. */
   uint64_t store_era = 0;
+  /** When the process woke from a freeze, or began to watch the store again; no
+   * call that was made since has been answered. */
+  std::optional<TimePoint> store_uncertain_since;
   bool fetching = false;
   bool leaving = false;
   TimePoint leaving_since;
@@ -481,6 +487,7 @@
   bool urgent_pending = false;
   uint32_t forwards = 0;  ///< Messages forwarded in the current second.
   rollout::RolloutTable rollouts;
+  StreamRestoreState streams;
 };
 
 /** Interval between saves of quota levels and usage counts. It bounds how
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -54,6 +54,12 @@
   /** Reads saved progress. Yields ProgressRead or ProgressReadFailed. */
   virtual void ReadSaved(EventSink sink) = 0;
 
+  /** Replaces this node's save of begun streams. Yields StreamsSaved. */
+  virtual void Save(const SaveStreams& streams, EventSink sink) = 0;
+
+  /** Reads the saved streams of all nodes. Yields StreamsRead. */
+  virtual void Read(const ReadStreams& wanted, EventSink sink) = 0;
+
   /** Reports a window's counts. Yields UsageSent. */
   virtual void Send(const SendUsage& usage, EventSink sink) = 0;
 
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -17,6 +17,7 @@
 #include "scaling_cmd.h"
 #include "server_list_cmd.h"
 #include "spread_cmd.h"
+#include "stream_save_cmd.h"
 #include "time_of_day_cmd.h"
 
 namespace boragewharf::fleet {
@@ -293,6 +294,9 @@
             ApplyRolloutStatusWritten(state, written, now, effects);
             ScheduleMessageNow(state, false, now);
           },
+          [&](const StreamEvent& streams) {
+            ReduceStreamEvent(state, streams, now, effects);
+          },
           [&](const StopRequested& stop) {
             if (!state.leaving) {
               state.leaving_since = stop.received.value_or(now);
@@ -311,6 +315,7 @@
             SendUrgentMessage(state, now, effects);
             AdvanceProgressRead(state, now, effects);
             AdvanceDuties(state, now, effects);
+            AdvanceStreamRestore(state, now, effects);
           },
       },
       event);
--- a/packages/fleet/src/server_list_cmd.cc
+++ b/packages/fleet/src/server_list_cmd.cc
@@ -42,6 +42,13 @@
 constexpr milliseconds kLongestTick(500);
 constexpr milliseconds kCatchUpTime(2000);
 
+/** Time between two ticks, also in message periods, after which the store may
+ * have been lost unnoticed. Longer than kLongestTick, as ticks are late under
+ * load, and a node that hears few others knows no version of a stream without
+ * the store. */
+constexpr milliseconds kLongestStoreGap(1000);
+constexpr int kLongestStoreGapPeriods = 5;
+
 void PublishServerList(FleetState& state,
                        TimePoint now,
                        std::vector<Effect>& effects) {
@@ -300,6 +307,11 @@
 /** Returns whether the process was frozen since the last tick. */
 bool NoteTick(FleetState& state, TimePoint now) {
   const TimePoint last = std::exchange(state.last_tick, now);
+  const auto longest = std::max<Duration>(
+      kLongestStoreGap, kLongestStoreGapPeriods * MessagePeriod(state));
+  if (last != TimePoint{} && now - last > longest) {
+    state.store_uncertain_since = now;
+  }
   return now - last > kLongestTick;
 }
 
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -279,6 +279,17 @@
   return groups;
 }
 
+/** Whether the store's changes reach this node. */
+bool IsStoreFollowed(const FleetState& state, TimePoint now) {
+  return (state.following && state.store_reachable &&
+          !state.store_uncertain_since) ||
+         std::ranges::any_of(state.peers.All(), [&](const auto& peer) {
+           const PeerEntry& entry = peer.second;
+           return entry.status.follows_store &&
+                  !IsSilent(entry.last_message_at, MessagePeriod(state), now);
+         });
+}
+
 /** Adds what a group of nodes gets to the message for all. */
 void FillReport(const FleetState& state,
                 const TargetGroup& group,
@@ -448,6 +459,7 @@
     FillReport(state, group, extensions, now, send.message);
     effects.emplace_back(std::move(send));
   }
+  summary.store_followed = IsStoreFollowed(state, now);
   summary.prefill_speeds = PrefillSpeeds(state, now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
   summary.informed =
--- a/packages/fleet/src/store_following_cmd.cc
+++ b/packages/fleet/src/store_following_cmd.cc
@@ -88,6 +88,8 @@
   if (follow != state.following) {
     effects.emplace_back(LogChange{follow ? "store_followed" : "store_left", "",
                                    state.servers_revision, state.servers_era});
+    // Whether the store is reachable was last known when it was watched before.
+    state.store_uncertain_since = now;
   }
   state.following = follow;
   state.eager = eager;
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -43,6 +43,8 @@
   virtual void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) = 0;
   virtual void OnSuspectsRestored(const serving::SuspectReport& suspects) = 0;
+  virtual void OnStreamsRestored(const fleet::RestoreStreams& restored) = 0;
+  virtual void OnStreamSaveEnded(const fleet::EndStreamSave& ended) = 0;
 };
 
 /** Response of an HTTP endpoint of the control loop. */
@@ -89,6 +91,7 @@
 
  private:
   void Execute(const fleet::Effect& effect);
+  void Execute(const fleet::StreamEffect& effect);
   void Send(const fleet::SendToPeers& send);
   void Fetch(const fleet::FetchState& fetch);
   void ReceiveDatagram();
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -60,6 +60,11 @@
   void OnBlockedPartsRestored(
       const std::vector<serving::BlockedPart>& blocked) override;
   void OnSuspectsRestored(const serving::SuspectReport& suspects) override;
+  void OnStreamsRestored(const fleet::RestoreStreams& restored) override;
+  void OnStreamSaveEnded(const fleet::EndStreamSave& ended) override;
+  /** Passes the streams that are to be saved now to the control loop, and
+   * whether the saves of all nodes are to be read. */
+  void SaveStreams(TimePoint now);
   /** Runs @p handler on the traffic loop. @param source See HandlerGuard. */
   template <class Handler>
   void PostToTraffic(const char* source, Handler handler);
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -241,8 +241,7 @@
   this->platform.Follow(
       [this](const fleet::Event& event) { this->Handle(event); });
   if (!this->settings.first_start) {
-    this->platform.ReadSaved(
-        [this](const fleet::Event& event) { this->Handle(event); });
+    this->Handle(fleet::StreamEvent{fleet::StreamRestoreWanted{}});
   }
   this->Tick();
 }
@@ -308,6 +307,7 @@
           [&](const fleet::RestoreSuspects& restore) {
             this->state_listener.OnSuspectsRestored(restore.suspects);
           },
+          [&](const fleet::StreamEffect& streams) { this->Execute(streams); },
           [&](const fleet::LogChange& change) {
             if (change.era) {
               this->log.Write(EventLevel::kInfo, change.event,
@@ -324,6 +324,27 @@
       effect);
 }
 
+void ControlLoop::Execute(const fleet::StreamEffect& effect) {
+  const auto handle_event = [this](const fleet::Event& event) {
+    this->Handle(event);
+  };
+  std::visit(Overloaded{
+                 [&](const fleet::ReadStreams& wanted) {
+                   this->platform.Read(wanted, handle_event);
+                 },
+                 [&](const fleet::SaveStreams& save) {
+                   this->platform.Save(save, handle_event);
+                 },
+                 [&](const fleet::RestoreStreams& restore) {
+                   this->state_listener.OnStreamsRestored(restore);
+                 },
+                 [&](const fleet::EndStreamSave& ended) {
+                   this->state_listener.OnStreamSaveEnded(ended);
+                 },
+             },
+             effect.effect);
+}
+
 void ControlLoop::Send(const fleet::SendToPeers& send) {
   const std::string bytes = EncodePeerMessage(send.message, send.compressed);
   for (const std::string& ip : send.ips) {
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -229,6 +229,34 @@
   });
 }
 
+void Node::OnStreamsRestored(const fleet::RestoreStreams& restored) {
+  this->PostToTraffic("streams", [this, restored] {
+    this->traffic->RestoreStreams(restored.saved, restored.asked);
+  });
+}
+
+void Node::OnStreamSaveEnded(const fleet::EndStreamSave& ended) {
+  this->PostToTraffic("stream_save", [this, ended] {
+    this->traffic->EndStreamSave(ended.number, ended.saved);
+  });
+}
+
+void Node::SaveStreams(TimePoint now) {
+  if (this->traffic->TakeStreamRestoreWanted()) {
+    asio::post(this->control_loop, [this] {
+      this->control->Handle(fleet::StreamEvent{fleet::StreamRestoreWanted{}});
+    });
+  }
+  auto save = this->traffic->TakeStreamSave(now);
+  if (!save) {
+    return;
+  }
+  asio::post(this->control_loop, [this, wanted = std::move(*save)]() mutable {
+    this->control->Handle(
+        fleet::StreamEvent{fleet::StreamSaveWanted{std::move(wanted)}});
+  });
+}
+
 void Node::OnSignal(int number, TimePoint received) {
   if (number == SIGHUP) {
     asio::post(this->control_loop, [this] {
@@ -310,6 +338,7 @@
       this->client_listener->CheckTime(now);
     }
   });
+  this->traffic_guard.Call("stream_save", [&] { this->SaveStreams(now); });
   if (now >= this->next_report_time) {
     this->next_report_time = now + kReportPeriod;
     this->traffic_guard.Call("traffic_report", [&] {
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -116,6 +116,28 @@
     this->stream_versions = &versions;
   }
 
+  /** What is to be saved of the streams that began; see StreamRecords. */
+  std::optional<serving::StreamSave> TakeStreamSave(TimePoint now) {
+    return this->stream_records.TakeSave(now);
+  }
+
+  /** Records the end of a save of streams. */
+  void EndStreamSave(uint64_t number, bool saved) {
+    this->stream_records.EndSave(number, saved, BootClock::now());
+  }
+
+  /** Whether the saved streams of all nodes are to be read again; see
+   * StreamRecords. */
+  bool TakeStreamRestoreWanted() {
+    return this->stream_records.TakeRestoreWanted();
+  }
+
+  /** Adds the streams that all nodes have saved, as asked for at @p asked. */
+  void RestoreStreams(const std::vector<serving::SavedStreams>& saved,
+                      TimePoint asked) {
+    this->stream_records.Restore(saved, asked, BootClock::now());
+  }
+
   /** Load, quota use, demand, usage and crash data for the other nodes. */
   serving::TrafficReport Report(TimePoint now);
 
