Ask servers that could not be reached when they started

Cause: a server that restarted under its id with another version was taken for the one that began a stream until its new entry was read. Change: a server that could not be reached is asked when it started; until that is known, or its entry is new, no stream goes on there, and what it begins counts as of no known version.

--- a/packages/relay/include/relay/server_pool_base.h
+++ b/packages/relay/include/relay/server_pool_base.h
@@ -56,8 +56,8 @@
   serving::BackendServer server;
   serving::Distance distance = serving::Distance::kSameZone;
   bool listed = true;  ///< False once it is missing from the platform's list.
+  bool notice_requested = false;  ///< Asked when it will stop.
   TimePoint unlisted_at;
-  bool notice_requested = false;      ///< Asked when it will stop.
   std::optional<TimePoint> stops_at;  ///< Expected stop: reported by the
                                       ///< server, or assumed until then.
   serving::ServerLoad own_load;       ///< Load caused by this node.
@@ -71,12 +71,19 @@
   TimePoint cold_until;           ///< Warms up until then.
   /** Until then the server wants no requests from this node. */
   TimePoint no_requests_until;
+  /** When a connection last failed. The entry may be that of a former lifetime
+   * since, and the server may have another version; empty again once a report
+   * shows that the lifetime has not changed. */
+  std::optional<TimePoint> unreached_at;
+  TimePoint next_lifetime_check;  ///< See TakeDueLifetimeChecks().
   std::deque<std::shared_ptr<UpstreamConnection>> idle;
   /** By prefix hash, when any node last sent a request with it here. */
   std::unordered_map<uint32_t, TimePoint> prefixes;
   std::unique_ptr<httpio::HttpChannel> call_channel;  ///< See CallChannel().
   std::deque<BrokenRequest> broken_requests;          ///< Oldest first.
   bool crash_probe_pending = false;  ///< See ServerPool::ProbeForCrash().
+  /** A report has shown that the entry is that of a former lifetime. */
+  bool restarted = false;
 };
 
 /** All backend servers. Not thread-safe; used on the traffic loop. */
@@ -167,6 +174,26 @@
     this->rate_limits.CountRequest(LifetimeOf(server), now);
   }
 
+  /** Whether the entry of a server may be that of a former lifetime, so that
+   * its version is not known. */
+  static bool IsOutdated(const PooledServer& server, TimePoint now);
+
+  /** Servers whose report is to tell now whether their entry is outdated. */
+  std::vector<std::shared_ptr<PooledServer>> TakeDueLifetimeChecks(
+      TimePoint now);
+
+  /**
+   * Compares the start time that a server reports with that of its entry.
+   * @param started Unix milliseconds; empty if the report states none.
+   * @param sent When the report was requested.
+   */
+  static void RecordStart(PooledServer& server,
+                          std::optional<uint64_t> started,
+                          TimePoint sent);
+
+  /** Records that a server could not be reached, and may have restarted. */
+  static void RecordUnreached(PooledServer& server, TimePoint now);
+
   /** Limits that servers have named, as known to this node and to others. */
   serving::ServerRateLimits& RateLimits() { return this->rate_limits; }
 
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -193,6 +193,9 @@
    * ready. */
   void CheckLeavingServers(TimePoint now);
 
+  /** Asks servers that could not be reached whether they have restarted. */
+  void CheckLifetimes(TimePoint now);
+
   /** Asks servers with a limit that have not answered for a while. */
   void CheckLimitedServers(TimePoint now);
 
--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -323,7 +323,8 @@
 
   Attempt next;
   next.server = server;
-  next.version = server->server.version;
+  next.version = ServerPool::IsOutdated(*server, now) ? serving::kUnknownVersion
+                                                      : server->server.version;
   next.inputs = this->choice_inputs;
   next.started = now;
   next.last_progress = now;
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -143,7 +143,8 @@
   struct Attempt {
     std::shared_ptr<PooledServer> server;
     /** Of the server's software when the attempt began; the server may be
-     * listed with another one after a restart. */
+     * listed with another one after a restart. kUnknownVersion if its entry
+     * was outdated. */
     std::string version;
     std::shared_ptr<UpstreamConnection> connection;
     ChoiceInputs inputs;  ///< Of the choice of this server.
--- a/packages/relay/src/server_pool_base.cc
+++ b/packages/relay/src/server_pool_base.cc
@@ -50,6 +50,16 @@
  * heartbeats. */
 constexpr std::chrono::seconds kCrashConfirmTime(5);
 
+/** Time for which an entry is taken to be outdated if the server does not
+ * report when it started: several times the three heartbeats of silence after
+ * which entries are removed, as the store may be away for some seconds of it.
+ */
+constexpr std::chrono::seconds kMaxOutdatedTime(30);
+
+/** Interval at which a server that could not be reached is asked when it
+ * started; servers that crash are back after some seconds. */
+constexpr std::chrono::seconds kLifetimeCheckPeriod(1);
+
 /** Time after which a client may come back to another node, if this one has no
  * share of the limit of a server. */
 constexpr std::chrono::milliseconds kOtherNodeWait(400);
@@ -112,8 +122,12 @@
   }
   for (const serving::BackendServer& listed : set.servers) {
     auto& pooled = this->servers[listed.id];
-    const bool replaced = pooled && (pooled->server.started != listed.started ||
-                                     pooled->server.address != listed.address);
+    // Without start times, another version is the sign of a restart.
+    const bool upgraded = pooled && listed.started == 0 &&
+                          pooled->server.version != listed.version;
+    const bool replaced =
+        upgraded || (pooled && (pooled->server.started != listed.started ||
+                                pooled->server.address != listed.address));
     if (replaced) {
       this->ConfirmCrash(*pooled, now);
     }
@@ -283,7 +297,8 @@
     TimePoint now) const {
   std::vector<std::shared_ptr<PooledServer>> found;
   for (const auto& [id, pooled] : this->servers) {
-    if (this->Meets(*pooled, required) &&
+    const bool outdated = required.version && IsOutdated(*pooled, now);
+    if (this->Meets(*pooled, required) && !outdated &&
         now >= pooled->no_requests_until &&
         (!within_limits ||
          this->rate_limits.Allows(LifetimeOf(*pooled), now))) {
@@ -379,6 +394,7 @@
   if (failure == AttemptFailure::kNotSent) {
     this->ConfirmCrash(pooled, now);
     pooled.avoid_until = now + kUnreachableAvoidTime;
+    RecordUnreached(pooled, now);
   } else if (pooled.failures_in_row >= kAvoidAfter) {
     pooled.avoid_until = now + kAvoidTime;
   }
@@ -430,10 +446,51 @@
           const TimePoint now = BootClock::now();
           this->ConfirmCrash(*pooled, now);
           pooled->avoid_until = now + kUnreachableAvoidTime;
+          RecordUnreached(*pooled, now);
         }
       });
 }
 
+bool ServerPool::IsOutdated(const PooledServer& pooled, TimePoint now) {
+  return pooled.restarted ||
+         (pooled.unreached_at && now - *pooled.unreached_at < kMaxOutdatedTime);
+}
+
+void ServerPool::RecordUnreached(PooledServer& pooled, TimePoint now) {
+  if (!pooled.unreached_at || pooled.next_lifetime_check == TimePoint::max()) {
+    pooled.next_lifetime_check = now;
+  }
+  pooled.unreached_at = now;
+}
+
+std::vector<std::shared_ptr<PooledServer>> ServerPool::TakeDueLifetimeChecks(
+    TimePoint now) {
+  std::vector<std::shared_ptr<PooledServer>> due;
+  for (const auto& [id, pooled] : this->servers) {
+    if (IsOutdated(*pooled, now) && !pooled->restarted && pooled->listed &&
+        now >= pooled->next_lifetime_check) {
+      pooled->next_lifetime_check = now + kLifetimeCheckPeriod;
+      due.push_back(pooled);
+    }
+  }
+  return due;
+}
+
+void ServerPool::RecordStart(PooledServer& pooled,
+                             std::optional<uint64_t> started,
+                             TimePoint sent) {
+  if (!started || pooled.server.started == 0) {
+    // To ask again would tell nothing.
+    pooled.next_lifetime_check = TimePoint::max();
+    return;
+  }
+  if (*started != pooled.server.started) {
+    pooled.restarted = true;
+  } else if (pooled.unreached_at && sent > *pooled.unreached_at) {
+    pooled.unreached_at.reset();
+  }
+}
+
 void ServerPool::ConfirmCrash(PooledServer& pooled, TimePoint now) {
   for (BrokenRequest& request : pooled.broken_requests) {
     if (now - request.broken_at < kCrashConfirmTime) {
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -352,6 +352,7 @@
   this->pool.CheckTime(now);
   this->CheckLeavingServers(now);
   this->CheckLimitedServers(now);
+  this->CheckLifetimes(now);
   this->CountCrashes(now);
   if (now >= this->next_crash_evaluation) {
     this->next_crash_evaluation = now + kCrashEvaluationPeriod;
--- a/packages/relay/src/traffic_core_servers.cc
+++ b/packages/relay/src/traffic_core_servers.cc
@@ -43,6 +43,9 @@
   call.timeout = kReportTimeout;
   const auto on_report = [this, pooled](const httpio::HttpResult& result) {
     if (!result.head) {
+      if (!result.sent_at && pooled->unreached_at) {
+        ServerPool::RecordUnreached(*pooled, BootClock::now());
+      }
       return;  // Keep the assumed stop time.
     }
     const serving::ResponseFacts facts =
@@ -56,6 +59,8 @@
       return;
     }
     const auto report = this->codec.DecodeReport(result.body);
+    const bool was_outdated = ServerPool::IsOutdated(*pooled, BootClock::now());
+    ServerPool::RecordStart(*pooled, report.started, *result.sent_at);
     if (report.ready && !facts.leaving) {
       this->pool.Leaving().Clear(ServerPool::LifetimeOf(*pooled),
                                  *result.sent_at);
@@ -69,6 +74,8 @@
          {"running", pooled->own_load.running},
          {"ready", report.ready},
          {"leaving", facts.leaving},
+         {"was_outdated", was_outdated},
+         {"outdated", ServerPool::IsOutdated(*pooled, BootClock::now())},
          {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
   };
   this->pool.CountRequest(*pooled, now);
@@ -115,6 +122,18 @@
   }
 }
 
+void TrafficCore::CheckLifetimes(TimePoint now) {
+  for (const auto& pooled : this->pool.TakeDueLifetimeChecks(now)) {
+    const serving::Service* service =
+        this->config
+            ? serving::FindService(*this->config, pooled->server.service)
+            : nullptr;
+    if (service != nullptr && service->engine) {  // Others have no report.
+      this->RequestReport(pooled, now);
+    }
+  }
+}
+
 void TrafficCore::CheckLimitedServers(TimePoint now) {
   for (const serving::ServerLifetime& due :
        this->pool.RateLimits().TakeDueChecks(now)) {
--- a/packages/serving/include/serving/request_type.h
+++ b/packages/serving/include/serving/request_type.h
@@ -101,6 +101,7 @@
   bool ready = false;  ///< The server takes requests and is not leaving.
   bool draining = false;
   std::optional<Milliseconds> leaves_in;  ///< Until it stops, if known.
+  std::optional<uint64_t> started;        ///< Unix milliseconds, if stated.
 };
 
 /** Values of the head of a server's response. */
