Use a high saved quota level as a whole after a restart

Cause: after all nodes were killed, each used its share of a saved level only. The requests of a customer well below its quota reach few nodes, so that most of its take-ups were refused (LOST). Change: a level that was high and is at most 5 s old is used as a whole, but not more than a larger share by one node; refused clients are told to wait for a second at least. Levels are restored once, as a node that gains the duties reads them again. The test of divided levels starts from a lower level, as its former one is high now and has a test of its own.

--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -23,6 +23,7 @@
        {"nodes", view.nodes},
        {"pooled", view.pooled},
        {"informed", view.informed},
+       {"was_high", view.was_high},
        {"load_age_ms", Millis(this->arrived - this->core.pool.PeerLoadsAt())}});
 }
 
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -21,12 +21,13 @@
 
 /** Inputs of a quota decision, for the log. */
 struct QuotaView {
-  double level = 0;      ///< Level of the bucket that all nodes share.
-  double own_level = 0;  ///< Level of this node's share of the quota.
-  double rate = 0;       ///< Quota units per second.
-  uint32_t nodes = 1;    ///< Nodes that share the quota.
-  bool pooled = true;    ///< The shared level decides, not own_level.
-  bool informed = true;  ///< The other nodes' reports have arrived.
+  double level = 0;       ///< Level of the bucket that all nodes share.
+  double own_level = 0;   ///< Level of this node's share of the quota.
+  double rate = 0;        ///< Quota units per second.
+  uint32_t nodes = 1;     ///< Nodes that share the quota.
+  bool pooled = true;     ///< The shared level decides, not own_level.
+  bool informed = true;   ///< The other nodes' reports have arrived.
+  bool was_high = false;  ///< The level that was saved before a restart.
 };
 
 /**
@@ -34,7 +35,9 @@
  * and those of the other nodes when they report them. For nodes that do not
  * report, an equal share of the rate is deducted, because they may still admit
  * requests. While the bucket of a large quota is low, each node admits requests
- * at its share of the rate only.
+ * at its share of the rate only. So does a restarted node that lacks the other
+ * nodes' reports; for customers whose saved level was high it uses the whole
+ * level, but not more than a larger share for itself.
  *
  * Not thread-safe.
  */
@@ -44,8 +47,8 @@
    * @param allowed_overdraft How far a level may fall below zero. Compensates
    *     for the delay of reports, within the excess that the deployment allows.
    * @param fill Initial level of a new bucket, relative to its burst.
-   * @param peers_unknown Whether the use by other nodes is not known yet. Until
-   *     SetInformed() is called, only a share of the rate is admitted.
+   * @param peers_unknown Whether the use by other nodes is not known yet, until
+   *     SetInformed() is called.
    */
   QuotaTable(double allowed_overdraft, double fill, bool peers_unknown = false);
 
@@ -70,7 +73,8 @@
   std::map<std::string, double> Levels(TimePoint now);
 
   /**
-   * Restores levels that were saved before a restart.
+   * Restores levels that were saved before a restart. Later calls have no
+   * effect, because this node's own use is not part of what was saved.
    * @param age Time since they were saved; the buckets are refilled for it.
    */
   void Restore(const std::map<std::string, double>& levels, Duration age);
@@ -99,12 +103,22 @@
     double rate = 0;
     double burst = 0;
     double level = 0;
-    double reserve = 0;    ///< Held back for other nodes until SetInformed().
+    /** Held back for other nodes until SetInformed(), unless was_high. */
+    double reserve = 0;
     double own_level = 0;  ///< Level of this node's share of the quota.
+    /** The level saved before a restart was high, so that `level` is the whole
+     * level before SetInformed(), too. */
+    bool was_high = false;
     TimePoint updated;
   };
 
+  /** Whether `level` is the whole level, not this node's part of it. */
+  bool HasWholeLevel(const Bucket& bucket) const {
+    return this->informed || bucket.was_high;
+  }
   void Refill(Bucket& bucket, TimePoint now) const;
+  /** Number of nodes among which the quota is divided for own_level. */
+  uint32_t Shares(const Bucket& bucket) const;
   /** This node's share of the burst. */
   double OwnBurst(const Bucket& bucket) const;
   /** Whether the level shared by all nodes decides, instead of own_level. */
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -13,11 +13,25 @@
  * until the others report. The smallest deployments have six. */
 constexpr uint32_t kAssumedNodes = 6;
 
+/** A level that was high before the restart is divided into one share for this
+ * many nodes until they report: not all of them get requests of the customer.
+ */
+constexpr uint32_t kNodesPerShare = 2;
+
 /** Bucket level, relative to the burst, above which each node may use the whole
  * level. Below it, each node only uses its own share; otherwise all nodes would
  * spend the same refill before they receive each other's reports. */
 constexpr double kPooledFillThreshold = 0.5;
 
+/** The same for a level that was saved before a restart. A customer that
+ * demands more than its quota is kept around kPooledFillThreshold, one that
+ * does not is above it most of the time. */
+constexpr double kHighSavedFill = 0.6;
+
+/** Saved levels that are older say nothing about the demand before the restart.
+ * Machines that lost power are back within three seconds. */
+constexpr std::chrono::seconds kMaxAgeOfHighLevel(5);
+
 /** Part of its share that a node then uses; the rest reduces the overdraft. */
 constexpr double kOwnShareFactor = 0.95;
 
@@ -25,6 +39,10 @@
  * the quota between two reports by more than the deployment allows. */
 constexpr double kSmallRateFactor = 5;
 
+/** Least wait that a client is told by a node that lacks the other nodes'
+ * reports, in seconds. They arrive within about this time. */
+constexpr double kWaitForReportsSeconds = 1;
+
 /** Longest wait that a client is told, in seconds: a day, the longest deadline
  * of a request. A configured rate can be so low that the time is out of range.
  */
@@ -98,6 +116,9 @@
 
 void QuotaTable::Restore(const std::map<std::string, double>& levels,
                          Duration age) {
+  if (!this->restored.empty()) {
+    return;
+  }
   this->restored = levels;
   this->restored_age = age;
   for (auto& [customer, bucket] : this->buckets) {
@@ -118,6 +139,15 @@
     bucket.level = std::min(bucket.burst, bucket.level + std::max(0.0, level));
     return;
   }
+  if (found->second >= kHighSavedFill * bucket.burst &&
+      this->restored_age <= kMaxAgeOfHighLevel) {
+    // The requests of a customer reach few of the nodes before the reports
+    // arrive, so that equal shares would refuse most of them.
+    bucket.was_high = true;
+    bucket.level = std::min(bucket.burst, bucket.level + level);
+    bucket.own_level = this->OwnBurst(bucket);
+    return;
+  }
   // Each node starts with its share of the level. What the other nodes admit
   // meanwhile is deducted once they report it.
   const double share = 1.0 / std::max(this->nodes, kAssumedNodes);
@@ -129,21 +159,28 @@
   const std::chrono::duration<double> elapsed = now - bucket.updated;
   bucket.updated = now;
   double rate = bucket.rate * (1.0 - this->silent_share);
-  if (!this->informed) {
+  if (!this->HasWholeLevel(bucket)) {
     rate = bucket.rate / std::max(this->nodes, kAssumedNodes);
   }
   bucket.level = std::min(bucket.burst, bucket.level + rate * elapsed.count());
-  const double share = kOwnShareFactor * bucket.rate / this->nodes;
+  const double share = kOwnShareFactor * bucket.rate / this->Shares(bucket);
   bucket.own_level = std::min(this->OwnBurst(bucket),
                               bucket.own_level + share * elapsed.count());
 }
 
+uint32_t QuotaTable::Shares(const Bucket& bucket) const {
+  if (this->informed || !bucket.was_high) {
+    return this->nodes;
+  }
+  return std::max(kAssumedNodes, this->nodes / kNodesPerShare);
+}
+
 double QuotaTable::OwnBurst(const Bucket& bucket) const {
-  return bucket.burst / this->nodes;
+  return bucket.burst / this->Shares(bucket);
 }
 
 bool QuotaTable::UsesSharedLevel(const Bucket& bucket) const {
-  return !this->informed || this->nodes == 1 ||
+  return !this->HasWholeLevel(bucket) || this->nodes == 1 ||
          bucket.rate <= kSmallRateFactor * this->overdraft ||
          bucket.level >= kPooledFillThreshold * bucket.burst;
 }
@@ -153,13 +190,15 @@
   if (found != this->buckets.end()) {
     Bucket& bucket = found->second;
     this->Refill(bucket, now);
-    const double allowed = this->informed ? this->overdraft : 0;
+    const double allowed = this->HasWholeLevel(bucket) ? this->overdraft : 0;
     const bool pooled = this->UsesSharedLevel(bucket);
     const bool enough =
         pooled ? bucket.level + allowed >= cost
                : bucket.own_level > 0 &&
                      bucket.level > -kPooledFillThreshold * bucket.burst;
-    if (!enough) {
+    const bool share_left =
+        this->informed || !bucket.was_high || bucket.own_level > 0;
+    if (!enough || !share_left) {
       return false;
     }
     bucket.level -= cost;
@@ -205,7 +244,8 @@
           bucket.rate,
           this->nodes,
           this->UsesSharedLevel(bucket),
-          this->informed};
+          this->informed,
+          bucket.was_high};
 }
 
 Milliseconds QuotaTable::TimeUntil(const Customer& customer,
@@ -216,7 +256,9 @@
   }
   const Bucket& bucket = found->second;
   double seconds = (cost - this->overdraft - bucket.level) / bucket.rate;
-  if (!this->UsesSharedLevel(bucket)) {
+  if (!this->informed) {
+    seconds = std::max(seconds, kWaitForReportsSeconds);
+  } else if (!this->UsesSharedLevel(bucket)) {
     seconds = -bucket.own_level * this->nodes / (kOwnShareFactor * bucket.rate);
   }
   seconds = std::clamp(seconds, 0.0, kMaxWaitSeconds);
--- a/packages/serving/tests/quota_test.cc
+++ b/packages/serving/tests/quota_test.cc
@@ -187,20 +187,20 @@
   EXPECT_TRUE(table.Admit(config.customers[0], 15000, now));
 }
 
-// All nodes restart. A customer below its quota keeps its bucket level, divided
-// among the nodes until they receive each other's reports. A customer above its
-// quota keeps its overdraft.
+// All nodes restart. A customer whose saved level was low keeps its bucket
+// level, divided among the nodes until they receive each other's reports. A
+// customer above its quota keeps its overdraft.
 TEST(QuotaTableTest, RestartedNodesRestoreTheSavedLevels) {
   const ServingConfig config = ConfigWith(6000, 6000);
   TimePoint now{seconds(100)};
-  QuotaTable below_quota(0, 0, /*peers_unknown=*/true);
-  below_quota.Configure(config, now);
-  below_quota.Restore({{"school", 5000}}, seconds(1));
-  EXPECT_EQ(below_quota.Levels(now).at("school"), 6000);
-  EXPECT_TRUE(below_quota.Admit(config.customers[0], 1000, now));
-  EXPECT_FALSE(below_quota.Admit(config.customers[0], 1000, now));
-  below_quota.SetInformed();
-  EXPECT_TRUE(below_quota.Admit(config.customers[0], 5000, now));
+  QuotaTable low(0, 0, /*peers_unknown=*/true);
+  low.Configure(config, now);
+  low.Restore({{"school", 2900}}, seconds(1));
+  EXPECT_EQ(low.Levels(now).at("school"), 6000);
+  EXPECT_TRUE(low.Admit(config.customers[0], 1000, now));
+  EXPECT_FALSE(low.Admit(config.customers[0], 1000, now));
+  low.SetInformed();
+  EXPECT_TRUE(low.Admit(config.customers[0], 5000, now));
   QuotaTable above_quota(0, 0, /*peers_unknown=*/true);
   above_quota.Restore({{"school", -9000}}, seconds(1));
   above_quota.Configure(config, now);
@@ -208,6 +208,64 @@
   EXPECT_EQ(above_quota.Levels(now).at("school"), -3000);
 }
 
+// All nodes restart. Guards against dividing the level of a customer that is
+// well below its quota among all nodes: its requests reach few of them.
+TEST(QuotaTableTest, RestartedNodeUsesAHighSavedLevelAsAWhole) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  TimePoint now{seconds(100)};
+  QuotaTable table(0, 0, /*peers_unknown=*/true);
+  table.Configure(config, now);
+  table.SetNodes(60);
+  table.Restore({{"school", 5000}}, seconds(1));
+  EXPECT_EQ(table.Levels(now).at("school"), 6000);
+  EXPECT_TRUE(table.Admit(config.customers[0], 190, now));
+  EXPECT_TRUE(table.Admit(config.customers[0], 1500, now));
+  // A thirtieth is used up, as half of the nodes may admit requests.
+  EXPECT_FALSE(table.Admit(config.customers[0], 100, now));
+  now += milliseconds(1200);
+  table.DeductRemote("school", 15000);
+  EXPECT_FALSE(table.Admit(config.customers[0], 100, now));
+}
+
+// Guards against using the level of a customer that reached its limit since the
+// save.
+TEST(QuotaTableTest, OldSavedLevelIsDivided) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  const TimePoint now{seconds(100)};
+  QuotaTable table(0, 0, /*peers_unknown=*/true);
+  table.Configure(config, now);
+  table.Restore({{"school", 6000}}, seconds(6));
+  EXPECT_FALSE(table.Admit(config.customers[0], 1100, now));
+  EXPECT_TRUE(table.Admit(config.customers[0], 1000, now));
+}
+
+// A node that gains the duties reads the saved levels again. Guards against
+// giving back what it has admitted since it started.
+TEST(QuotaTableTest, LevelsAreRestoredOnce) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  const TimePoint now{seconds(100)};
+  QuotaTable table(0, 0, /*peers_unknown=*/true);
+  table.Configure(config, now);
+  table.Restore({{"school", 5000}}, seconds(1));
+  EXPECT_TRUE(table.Admit(config.customers[0], 1000, now));
+  table.Restore({{"school", 5000}}, seconds(1));
+  EXPECT_EQ(table.Levels(now).at("school"), 5000);
+  EXPECT_FALSE(table.Admit(config.customers[0], 100, now));
+}
+
+// Guards against clients that come back at once to nodes that may still use
+// only a part of the level: thousands of refusals in the first two seconds
+// after 72 nodes were killed.
+TEST(QuotaTableTest, ClientsOfRestartedNodesWaitForTheReports) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  TimePoint now{seconds(100)};
+  QuotaTable table(0, 0, /*peers_unknown=*/true);
+  table.Configure(config, now);
+  table.Restore({{"school", 2000}}, seconds(1));
+  ASSERT_FALSE(table.Admit(config.customers[0], 1100, now));
+  EXPECT_EQ(table.TimeUntil(config.customers[0], 1100), milliseconds(1000));
+}
+
 // A customer exceeds its quota at six nodes.
 TEST(QuotaTableTest, NodesTogetherEnforceTheQuota) {
   QuotaSimulation above_quota;
