Bound the early messages between nodes

Cause: below 150 nodes each change of a server made each node send a message to all others at the next tick, which filled the link between the regions. Change: an early message is sent half a period after the last one at the soonest, and goes to all regions only if the last such message is a period old.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -437,8 +437,9 @@
   TimePoint last_tick;  ///< Time of the last Tick event.
   TimePoint next_message;
   TimePoint last_message;
-  uint64_t message_rounds = 0;  ///< Number of periodic messages.
-  TimePoint next_urgent;        ///< Earliest time of the next urgent message.
+  TimePoint last_message_to_all;  ///< To the nodes of all regions.
+  uint64_t message_rounds = 0;    ///< Number of periodic messages.
+  TimePoint next_urgent;          ///< Earliest time of the next urgent message.
   TimePoint forwards_counted_since;
   /** Estimated time of day minus the boot clock. */
   std::optional<int64_t> wall_offset_ms;
--- a/packages/fleet/src/forward_cmd.cc
+++ b/packages/fleet/src/forward_cmd.cc
@@ -8,6 +8,7 @@
 #include <iterator>
 
 #include "fleet/fleet_cmd.h"
+#include "spread_cmd.h"
 
 namespace boragewharf::fleet {
 namespace {
@@ -127,13 +128,14 @@
 
 void ScheduleMessageToNewProcess(FleetState& state, TimePoint now) {
   // Lets the new process learn of this node and others sooner.
+  if (!IsLarge(state)) {
+    ScheduleEarlyMessage(state, now);
+    return;
+  }
   state.next_message_to_all = true;
   state.next_message =
-      IsLarge(state)
-          ? std::min(
-                state.next_message,
-                std::max(now, state.last_message + kNewProcessMessagePeriod))
-          : now;
+      std::min(state.next_message,
+               std::max(now, state.last_message + kNewProcessMessagePeriod));
 }
 
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -28,6 +28,11 @@
  * spent on sending. */
 constexpr milliseconds kPeriodPerNode(6);
 
+/** Messages in a period at most, if there is something new to tell. With dozens
+ * of nodes, a message for each change of a server would fill the links between
+ * the regions, so that most datagrams are lost. */
+constexpr int kEarlyPerPeriod = 2;
+
 /** A restarted node counts as informed after this time, even if nodes are
  * still missing. */
 constexpr milliseconds kInformedAfter(2000);
@@ -440,6 +445,9 @@
   state.peers.Expire(now);
   const bool to_all_regions = state.next_message_to_all || state.leaving;
   state.next_message_to_all = !state.next_message_to_all;
+  if (to_all_regions) {
+    state.last_message_to_all = now;
+  }
   const serving::PeerMessage base = MakeMessage(state, now);
   serving::PeerSummary summary =
       state.peers.TakeSummary(MessagePeriod(state), now);
@@ -475,8 +483,15 @@
     state.urgent_pending |= urgent;
     return;
   }
-  state.next_message = now;
-  state.next_message_to_all = true;
+  ScheduleEarlyMessage(state, now);
+}
+
+void ScheduleEarlyMessage(FleetState& state, TimePoint now) {
+  const Duration period = MessagePeriod(state);
+  state.next_message =
+      std::min(state.next_message,
+               std::max(now, state.last_message + period / kEarlyPerPeriod));
+  state.next_message_to_all |= now - state.last_message_to_all >= period;
 }
 
 void SendUrgentMessage(FleetState& state,
--- a/packages/fleet/src/spread_cmd.h
+++ b/packages/fleet/src/spread_cmd.h
@@ -32,14 +32,18 @@
                                                   TimePoint now);
 
 /**
- * Makes the next message due now and send it to all regions, if this node
- * watches the store. Used to pass on changes from the store without delay.
+ * Sends the next message early and to all regions, if this node watches the
+ * store. Used to pass on changes from the store without delay.
  * @param urgent Whether the change is one that other nodes need at once: a
  *     departure or a configuration. In a large deployment, other changes wait
  *     for the next periodic message.
  */
 void ScheduleMessageNow(FleetState& state, bool urgent, TimePoint now);
 
+/** Sends the next message as soon as the share of the links that messages may
+ * take allows, in a deployment that is not large. */
+void ScheduleEarlyMessage(FleetState& state, TimePoint now);
+
 /** In a large deployment, announces departures and a new configuration before
  * the next periodic message. */
 void SendUrgentMessage(FleetState& state,
