Tell usage counts to all nodes while no holder of the duties is known

Cause: counts went to the holder and the candidates for the duties. A node that does not hear the holder, or not any more, does not know them, so that a region's requests were not reported. Change: while no holder is heard, all nodes get the counts, in a deployment that is not large.

--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -5,6 +5,7 @@
 #include "spread_cmd.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <tuple>
 
@@ -219,17 +220,29 @@
   }
 };
 
-/** The group of a node that gets its message directly. */
+/** Whether a node that can be heard, or this one, holds the duties. */
+bool IsHolderKnown(const FleetState& state, TimePoint now) {
+  return HoldsDuties(state, now) ||
+         std::ranges::any_of(state.peers.All(), [&](const auto& peer) {
+           return peer.second.status.holds_duties &&
+                  !IsSilent(peer.second.last_message_at, MessagePeriod(state),
+                            now);
+         });
+}
+
+/** The group of a node that gets its message directly.
+ * @param duty_nodes Nodes that hold or may take over the duty lease, if a
+ *     holder is known. */
 TargetGroup GroupOf(const FleetState& state,
                     const std::string& ip,
-                    const std::set<std::string>& duty_nodes,
+                    const std::optional<std::set<std::string>>& duty_nodes,
                     TimePoint now) {
   const auto known = state.peers.All().find(ip);
   const bool is_known = known != state.peers.All().end();
   TargetGroup group;
   group.same_region =
       !is_known || known->second.status.region == state.settings.region;
-  group.has_duties = duty_nodes.contains(ip);
+  group.has_duties = !duty_nodes || duty_nodes->contains(ip);
   group.newcomer = IsNewcomer(state, ip, now);
   group.unheard = !is_known;
   group.every_period = group.same_region;
@@ -253,7 +266,10 @@
   if (IsLarge(state)) {
     forwarders = SelectForwarders(state, 1, now);
   }
-  const std::set<std::string> duty_nodes = DutyHoldersAndCandidates(state, now);
+  std::optional<std::set<std::string>> duty_nodes;
+  if (IsLarge(state) || IsHolderKnown(state, now)) {
+    duty_nodes = DutyHoldersAndCandidates(state, now);
+  }
   std::map<std::string, bool> regions_with_newcomers;
   for (const std::string& ip : state.peers.Targets()) {
     const TargetGroup group = GroupOf(state, ip, duty_nodes, now);
