Count the time to a lease renewal from the sending of the last one

No call failed after 400 s. Renewal 20 was sent at 445.25 and answered at 447.40; renewal 21 was sent at 449.95, reached the store at 452.40 and was answered at 455.20, 0.45 s after the lease had expired. The holder waited another 2.08 s, though its lease had only 4.25 s left: renewal 22 was sent at 457.30 and reached the store at 460.00, the lease had expired at 459.45. A lease counts from the sending of its renewal, but the period to the next one counted from the response. After a lost renewal was read back, a whole period followed too. No other member could take over: each waits a lease time from when it first saw the last renewal. By calculation, not seen in a run, two slow calls could delay the next write beyond that, so that a living holder is overtaken. Change: the period counts from the sending of the last confirmed renewal. Calls are still made one at a time, and as rarely as before if the store responds fast.

--- a/packages/lease/include/lease/lease_type.h
+++ b/packages/lease/include/lease/lease_type.h
@@ -45,7 +45,13 @@
  */
 inline constexpr Duration kOrderLifetime = std::chrono::seconds(10);
 
-/** Time between renewals; two in a row can fail before the lease expires. */
+/**
+ * Longest time from the sending of a renewal to that of the next one, if the
+ * store responds by then. Two in a row can fail before the lease expires: a
+ * period, the backoffs and three calls of up to 1.9 s fit into the 9.5 s of its
+ * validity. If the responses are lost, two reads come in between, and calls may
+ * take 1.2 s.
+ */
 inline constexpr Duration kRenewPeriod = std::chrono::seconds(3);
 
 /** Time between reads of a lease that another member holds. */
--- a/packages/lease/src/lease_cmd.cc
+++ b/packages/lease/src/lease_cmd.cc
@@ -350,8 +350,13 @@
     const bool holds =
         this->duty.held_lease && this->now < this->duty.held_lease->expires;
     if (holds && this->rules.IsRecordedHolder()) {
-      this->duty.next_call =
-          this->now + this->Jitter(this->state.timing.renew_period);
+      // Counted from the sending of the last renewal, as the lease is; a slow
+      // response leaves less time for the next one.
+      const TimePoint sent_at = this->duty.held_lease->expires +
+                                this->state.timing.expiry_margin -
+                                this->state.timing.lease_time;
+      this->duty.next_call = std::max(
+          this->now, sent_at + this->Jitter(this->state.timing.renew_period));
       return;
     }
     if (this->rules.IsRecordedHolder() || this->rules.NeverHeld() ||
