Do not let a call to a server keep that server alive

The channel for reports and moves belongs to the server's entry, and the callback of a report held that entry; so does that of a move hold the target, whose channel may hold a call with the source. An entry with a call under way at the end of the process, or after it was removed from the pool, was freed only with the call's end, and never if the loop had stopped. Change: the callbacks refer to the entry weakly. A copy at a target that is no longer in the pool is not freed by a call any more; its server has left.

--- a/packages/relay/src/exchange_move.cc
+++ b/packages/relay/src/exchange_move.cc
@@ -117,30 +117,34 @@
 }
 
 void Exchange::SendMoveRequest(httpio::InboundRequest encoded, bool stop) {
-  const std::shared_ptr<PooledServer> target = this->attempt->move.target;
   httpio::HttpCall call;
   call.method = std::move(encoded.method);
   call.target = std::move(encoded.target);
   call.fields = std::move(encoded.fields);
   call.body = std::move(encoded.body);
   call.timeout = kMoveTimeout;
-  const auto on_response = [weak = this->weak_from_this(), &core = this->core,
-                            target, stop, source = this->attempt->connection](
-                               const httpio::HttpResult& result) {
-    const auto self = weak.lock();
-    // The attempt may have failed in the meantime, and the request may have
-    // been sent to another server.
-    if (self && !self->done && self->attempt &&
-        self->attempt->connection == source) {
-      self->Protect("move_response",
-                    [&] { self->OnMoveResponse(stop, result); });
-      return;
-    }
-    if (result.head) {
-      FreeCopy(core, *target,
-               core.codec.DecodeMoveResponse(result.head->status, result.body));
-    }
-  };
+  // The channel belongs to the source, which may itself be the target of calls
+  // in the channel of this target.
+  const auto on_response =
+      [weak = this->weak_from_this(), &core = this->core,
+       weak_target = std::weak_ptr(this->attempt->move.target), stop,
+       source = this->attempt->connection](const httpio::HttpResult& result) {
+        const auto self = weak.lock();
+        // The attempt may have failed in the meantime, and the request may have
+        // been sent to another server.
+        if (self && !self->done && self->attempt &&
+            self->attempt->connection == source) {
+          self->Protect("move_response",
+                        [&] { self->OnMoveResponse(stop, result); });
+          return;
+        }
+        const auto target = weak_target.lock();
+        if (result.head && target) {
+          FreeCopy(
+              core, *target,
+              core.codec.DecodeMoveResponse(result.head->status, result.body));
+        }
+      };
   this->core.pool.CountRequest(*this->attempt->server, BootClock::now());
   this->core.pool.CallChannel(*this->attempt->server)
       .Call(std::move(call), on_response);
--- a/packages/relay/src/traffic_core_servers.cc
+++ b/packages/relay/src/traffic_core_servers.cc
@@ -32,16 +32,22 @@
   }
 }
 
-void TrafficCore::RequestReport(const std::shared_ptr<PooledServer>& pooled,
+void TrafficCore::RequestReport(const std::shared_ptr<PooledServer>& server,
                                 TimePoint now) {
-  if (now < pooled->no_requests_until) {
+  if (now < server->no_requests_until) {
     return;
   }
   httpio::HttpCall call;
   call.method = "GET";
   call.target = this->codec.ReportTarget();
   call.timeout = kReportTimeout;
-  const auto on_report = [this, pooled](const httpio::HttpResult& result) {
+  // The channel belongs to the server.
+  const auto on_report = [this, weak = std::weak_ptr(server)](
+                             const httpio::HttpResult& result) {
+    const std::shared_ptr<PooledServer> pooled = weak.lock();
+    if (!pooled) {
+      return;
+    }
     if (!result.head) {
       if (!result.sent_at && pooled->unreached_at) {
         ServerPool::RecordUnreached(*pooled, BootClock::now());
@@ -78,8 +84,8 @@
          {"outdated", ServerPool::IsOutdated(*pooled, BootClock::now())},
          {"leaves_ms", report.leaves_in ? report.leaves_in->count() : -1}});
   };
-  this->pool.CountRequest(*pooled, now);
-  this->pool.CallChannel(*pooled).Call(std::move(call), on_report);
+  this->pool.CountRequest(*server, now);
+  this->pool.CallChannel(*server).Call(std::move(call), on_report);
 }
 
 void TrafficCore::RecordAnswer(PooledServer& pooled,
