Keep a part of each quota for streams that clients resume

Cause: a client that resumes a broken stream was held to the quota like a new request.

Change: new requests leave a quarter of the burst, of the node's own share, or of the share before the reports arrive; resumed streams may use it. In the shared mode the reserve is at most the overdraft. Resumed streams are admitted as all requests were before, new requests more strictly, so that no bound of the total changes. What a full bucket allows needs no reserve on top. Retry-After of a new request includes the reserve. Only a stream whose origin was accepted may use it. quota_exceeded has `resumed` and `resume_reserve`. A saved level that was high keeps its limit of the own share without a reserve, as the existing test demands.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -224,9 +224,13 @@
   if (this->customer != nullptr) {
     const double cost =
         serving::QuotaCost(*this->customer, this->request.facts);
-    if (!this->core.quotas.Admit(*this->customer, cost, this->arrived)) {
+    // Bound before the first event only if CheckStreamOrigin() knew it.
+    const serving::QuotaUse use = this->stream_version
+                                      ? serving::QuotaUse::kResumedStream
+                                      : serving::QuotaUse::kNewRequest;
+    if (!this->core.quotas.Admit(*this->customer, cost, this->arrived, use)) {
       this->LogQuotaExceeded(cost);
-      this->Refuse(429, this->core.quotas.TimeUntil(*this->customer, cost),
+      this->Refuse(429, this->core.quotas.TimeUntil(*this->customer, cost, use),
                    "over_quota");
       return false;
     }
--- a/packages/relay/src/exchange_end.cc
+++ b/packages/relay/src/exchange_end.cc
@@ -24,6 +24,8 @@
        {"pooled", view.pooled},
        {"informed", view.informed},
        {"was_high", view.was_high},
+       {"resumed", this->stream_version.has_value()},
+       {"resume_reserve", static_cast<int64_t>(view.resume_reserve)},
        {"load_age_ms", Millis(this->arrived - this->core.pool.PeerLoadsAt())}});
 }
 
--- a/packages/serving/include/serving/quota_base.h
+++ b/packages/serving/include/serving/quota_base.h
@@ -19,15 +19,22 @@
 /** Cost of a request in the unit of the customer's quota. */
 double QuotaCost(const Customer& customer, const RequestFacts& facts);
 
+/** What a request wants to use a quota for. */
+enum class QuotaUse {
+  kNewRequest,     ///< Must leave the reserve for resumed streams.
+  kResumedStream,  ///< Goes on with an answer of which the client has a part.
+};
+
 /** Inputs of a quota decision, for the log. */
 struct QuotaView {
-  double level = 0;       ///< Level of the bucket that all nodes share.
-  double own_level = 0;   ///< Level of this node's share of the quota.
-  double rate = 0;        ///< Quota units per second.
-  uint32_t nodes = 1;     ///< Nodes that share the quota.
-  bool pooled = true;     ///< The shared level decides, not own_level.
-  bool informed = true;   ///< The other nodes' reports have arrived.
-  bool was_high = false;  ///< The level that was saved before a restart.
+  double level = 0;           ///< Level of the bucket that all nodes share.
+  double own_level = 0;       ///< Level of this node's share of the quota.
+  double rate = 0;            ///< Quota units per second.
+  uint32_t nodes = 1;         ///< Nodes that share the quota.
+  bool pooled = true;         ///< The shared level decides, not own_level.
+  bool informed = true;       ///< The other nodes' reports have arrived.
+  bool was_high = false;      ///< The level that was saved before a restart.
+  double resume_reserve = 0;  ///< Left to resumed streams by new requests.
 };
 
 /**
@@ -39,6 +46,12 @@
  * nodes' reports; for customers whose saved level was high it uses the whole
  * level, but not more than a larger share for itself.
  *
+ * A part of each quota is reserved for resumed streams: of a customer at its
+ * limit, new requests would otherwise use all that is refilled, and clients
+ * whose node was killed would lose answers of which they have a part. The
+ * reserve lies within the limits above, so that the sum of new requests and
+ * resumed streams is bounded as before.
+ *
  * Not thread-safe.
  */
 class QuotaTable {
@@ -56,8 +69,12 @@
   void Configure(const ServingConfig& config, TimePoint now);
 
   /** Admits a request if its quota allows, and deducts the cost.
+   * @param use kResumedStream only for streams whose origin is known.
    * @return Whether the request was admitted. */
-  bool Admit(const Customer& customer, double cost, TimePoint now);
+  bool Admit(const Customer& customer,
+             double cost,
+             TimePoint now,
+             QuotaUse use = QuotaUse::kNewRequest);
 
   /** Gives back the cost of an admitted request that did not run. */
   void Refund(std::string_view customer, double cost);
@@ -96,7 +113,9 @@
 
   /** Time until a request of @p cost would be admitted if no other request is
    * admitted before. */
-  Milliseconds TimeUntil(const Customer& customer, double cost) const;
+  Milliseconds TimeUntil(const Customer& customer,
+                         double cost,
+                         QuotaUse use = QuotaUse::kNewRequest) const;
 
  private:
   struct Bucket {
@@ -121,8 +140,14 @@
   uint32_t Shares(const Bucket& bucket) const;
   /** This node's share of the burst. */
   double OwnBurst(const Bucket& bucket) const;
+  /** The same until SetInformed(), if the saved level was not high. */
+  double UninformedBurst(const Bucket& bucket) const;
   /** Whether the level shared by all nodes decides, instead of own_level. */
   bool UsesSharedLevel(const Bucket& bucket) const;
+  /** Part of the level that decides, which only resumed streams may use. */
+  double ResumeReserve(const Bucket& bucket) const;
+  /** Whether the level that decides allows @p cost and leaves @p reserve. */
+  bool HasEnough(const Bucket& bucket, double cost, double reserve) const;
   void RestoreBucket(const std::string& customer, Bucket& bucket) const;
 
   double overdraft;
--- a/packages/serving/src/quota_base.cc
+++ b/packages/serving/src/quota_base.cc
@@ -39,6 +39,11 @@
  * the quota between two reports by more than the deployment allows. */
 constexpr double kSmallRateFactor = 5;
 
+/** Part of a quota that only resumed streams may use, relative to the burst or
+ * this node's share of it. A smaller part is refilled so fast that few
+ * resumed streams arrive within that time. */
+constexpr double kResumeReserve = 0.25;
+
 /** Least wait that a client is told by a node that lacks the other nodes'
  * reports, in seconds. They arrive within about this time. */
 constexpr double kWaitForReportsSeconds = 1;
@@ -48,6 +53,12 @@
  */
 constexpr double kMaxWaitSeconds = 24.0 * 60 * 60;
 
+/** Least level that allows @p cost and leaves @p reserve. A request that fits
+ * @p most, the highest level, must not wait for more. */
+double WantedLevel(double cost, double reserve, double most) {
+  return std::min(cost + reserve, std::max(cost, most));
+}
+
 }  // namespace
 
 double QuotaCost(const Customer& customer, const RequestFacts& facts) {
@@ -179,26 +190,56 @@
   return bucket.burst / this->Shares(bucket);
 }
 
+double QuotaTable::UninformedBurst(const Bucket& bucket) const {
+  return bucket.burst / std::max(this->nodes, kAssumedNodes);
+}
+
 bool QuotaTable::UsesSharedLevel(const Bucket& bucket) const {
   return !this->HasWholeLevel(bucket) || this->nodes == 1 ||
          bucket.rate <= kSmallRateFactor * this->overdraft ||
          bucket.level >= kPooledFillThreshold * bucket.burst;
 }
 
-bool QuotaTable::Admit(const Customer& customer, double cost, TimePoint now) {
+double QuotaTable::ResumeReserve(const Bucket& bucket) const {
+  if (!this->HasWholeLevel(bucket)) {
+    return kResumeReserve * this->UninformedBurst(bucket);
+  }
+  if (this->UsesSharedLevel(bucket)) {
+    // Within the overdraft, so that new requests can still use a whole burst.
+    return std::min(kResumeReserve * bucket.burst, this->overdraft);
+  }
+  return kResumeReserve * this->OwnBurst(bucket);
+}
+
+bool QuotaTable::HasEnough(const Bucket& bucket,
+                           double cost,
+                           double reserve) const {
+  if (!this->HasWholeLevel(bucket)) {
+    const double most = this->UninformedBurst(bucket);
+    return bucket.level >= WantedLevel(cost, reserve, most);
+  }
+  if (this->UsesSharedLevel(bucket)) {
+    const double most = bucket.burst + this->overdraft;
+    return bucket.level + this->overdraft >= WantedLevel(cost, reserve, most);
+  }
+  return bucket.own_level > reserve &&
+         bucket.level > -kPooledFillThreshold * bucket.burst;
+}
+
+bool QuotaTable::Admit(const Customer& customer,
+                       double cost,
+                       TimePoint now,
+                       QuotaUse use) {
   const auto found = this->buckets.find(customer.name);
   if (found != this->buckets.end()) {
     Bucket& bucket = found->second;
     this->Refill(bucket, now);
-    const double allowed = this->HasWholeLevel(bucket) ? this->overdraft : 0;
     const bool pooled = this->UsesSharedLevel(bucket);
-    const bool enough =
-        pooled ? bucket.level + allowed >= cost
-               : bucket.own_level > 0 &&
-                     bucket.level > -kPooledFillThreshold * bucket.burst;
+    const double reserve =
+        use == QuotaUse::kNewRequest ? this->ResumeReserve(bucket) : 0;
     const bool share_left =
         this->informed || !bucket.was_high || bucket.own_level > 0;
-    if (!enough || !share_left) {
+    if (!this->HasEnough(bucket, cost, reserve) || !share_left) {
       return false;
     }
     bucket.level -= cost;
@@ -245,21 +286,28 @@
           this->nodes,
           this->UsesSharedLevel(bucket),
           this->informed,
-          bucket.was_high};
+          bucket.was_high,
+          this->ResumeReserve(bucket)};
 }
 
 Milliseconds QuotaTable::TimeUntil(const Customer& customer,
-                                   double cost) const {
+                                   double cost,
+                                   QuotaUse use) const {
   const auto found = this->buckets.find(customer.name);
   if (found == this->buckets.end() || found->second.rate <= 0) {
     return Milliseconds(0);
   }
   const Bucket& bucket = found->second;
-  double seconds = (cost - this->overdraft - bucket.level) / bucket.rate;
+  const double reserve =
+      use == QuotaUse::kNewRequest ? this->ResumeReserve(bucket) : 0;
+  const double wanted =
+      WantedLevel(cost, reserve, bucket.burst + this->overdraft);
+  double seconds = (wanted - this->overdraft - bucket.level) / bucket.rate;
   if (!this->informed) {
     seconds = std::max(seconds, kWaitForReportsSeconds);
   } else if (!this->UsesSharedLevel(bucket)) {
-    seconds = -bucket.own_level * this->nodes / (kOwnShareFactor * bucket.rate);
+    seconds = (reserve - bucket.own_level) * this->nodes /
+              (kOwnShareFactor * bucket.rate);
   }
   seconds = std::clamp(seconds, 0.0, kMaxWaitSeconds);
   return Milliseconds(static_cast<int64_t>(seconds * 1000));
--- a/packages/serving/tests/quota_test.cc
+++ b/packages/serving/tests/quota_test.cc
@@ -4,6 +4,7 @@
  */
 #include <gtest/gtest.h>
 
+#include <array>
 #include <deque>
 #include <random>
 
@@ -89,6 +90,14 @@
   EXPECT_TRUE(table.Admit(config.customers[0], 990, now));
 }
 
+/** Requests of one kind. */
+struct RequestCounts {
+  double sent = 0;
+  double admitted = 0;
+
+  double AdmittedShare() const { return this->admitted / this->sent; }
+};
+
 /** Simulates the requests of one customer at several nodes whose reports to
  * each other are delayed. */
 struct QuotaSimulation {
@@ -97,26 +106,36 @@
   double demand_factor = 6;  ///< Demand, relative to the rate.
   milliseconds period{200};  ///< Report interval; nodes are staggered.
   milliseconds delay{0};     ///< From a report to its use at other nodes.
+  double fill = 1;           ///< Level at the start, relative to the burst.
+  double resumed = 0;        ///< Share of the requests that resume a stream.
+  uint32_t seed = 11;        ///< Of the costs, the nodes and the uses.
+  size_t killed = 0;         ///< Nodes that are silent and get no requests.
   double max_in_window = 0;  ///< Largest amount admitted in 8 s.
   double mean_rate = 0;      ///< Admitted per second over the whole run.
+  std::map<QuotaUse, RequestCounts> counts;
 
   void Run(Duration length) {
     const ServingConfig config = ConfigWith(this->rate, this->rate);
-    std::vector<QuotaTable> tables(this->nodes, QuotaTable(28000, 1.0));
+    const size_t live = this->nodes - this->killed;
+    std::vector<QuotaTable> tables(live, QuotaTable(28000, this->fill));
     const TimePoint start{seconds(100)};
     TimePoint now = start;
     for (QuotaTable& table : tables) {
       table.Configure(config, now);
       table.SetNodes(static_cast<uint32_t>(this->nodes));
+      table.SetSilentShare(static_cast<double>(this->killed) /
+                           static_cast<double>(this->nodes));
     }
-    std::vector<double> reported(this->nodes, 0);
-    std::vector<TimePoint> next_report(this->nodes);
-    for (size_t i = 0; i < this->nodes; ++i) {
+    std::vector<double> reported(live, 0);
+    std::vector<TimePoint> next_report(live);
+    for (size_t i = 0; i < live; ++i) {
       next_report[i] = now + this->period * i / this->nodes;
     }
-    std::mt19937_64 generator(11);
+    std::mt19937_64 generator(this->seed);
     std::uniform_real_distribution<double> random_cost(500, 24000);
-    std::uniform_int_distribution<size_t> random_node(0, this->nodes - 1);
+    std::uniform_int_distribution<size_t> random_node(0, live - 1);
+    std::mt19937_64 use_generator(this->seed + 1000);
+    std::bernoulli_distribution resumes(this->resumed);
     std::deque<std::pair<TimePoint, double>> admitted;
     struct Report {
       TimePoint due;
@@ -130,7 +149,7 @@
         12250 / (this->demand_factor * this->rate));
     while (now < start + length) {
       now += std::chrono::duration_cast<Duration>(arrival_gap);
-      for (size_t from = 0; from < this->nodes; ++from) {
+      for (size_t from = 0; from < live; ++from) {
         if (now < next_report[from]) {
           continue;
         }
@@ -143,15 +162,19 @@
       }
       for (; !in_transit.empty() && in_transit.front().due <= now;
            in_transit.pop_front()) {
-        for (size_t to = 0; to < this->nodes; ++to) {
+        for (size_t to = 0; to < live; ++to) {
           if (to != in_transit.front().from) {
             tables[to].DeductRemote("school", in_transit.front().amount);
           }
         }
       }
       const double cost = random_cost(generator);
-      if (tables[random_node(generator)].Admit(config.customers[0], cost,
-                                               now)) {
+      const QuotaUse use = resumes(use_generator) ? QuotaUse::kResumedStream
+                                                  : QuotaUse::kNewRequest;
+      this->counts[use].sent += 1;
+      if (tables[random_node(generator)].Admit(config.customers[0], cost, now,
+                                               use)) {
+        this->counts[use].admitted += 1;
         admitted.emplace_back(now, cost);
         sum_in_window += cost;
         total += cost;
@@ -315,5 +338,132 @@
   EXPECT_GE(below_quota.mean_rate, 0.97 * 0.8 * below_quota.rate);
 }
 
+/** Nodes and quota of a customer that demands more than it. */
+struct Overload {
+  size_t nodes;
+  double rate;
+  double demand_factor;
+  milliseconds period;
+  seconds length;
+};
+
+// A customer exceeds its quota all the time, and a tenth of its requests resume
+// streams. Guards against refusing these as often as new requests (failure LOST
+// on ascb-wharf-grown rejoined), and against serving them beyond the quota.
+TEST(QuotaTableTest, ResumedStreamsGoOnWhileTheQuotaIsExceeded) {
+  constexpr std::array<Overload, 5> kOverloads{
+      {{6, 390000, 6, milliseconds(200), seconds(60)},
+       {72, 667000, 6, milliseconds(864), seconds(40)},
+       {79, 1125000, 4, milliseconds(900), seconds(40)},
+       {6, 36000, 4, milliseconds(200), seconds(300)},
+       {1, 36000, 4, milliseconds(200), seconds(300)}}};
+  for (const Overload& overload : kOverloads) {
+    QuotaSimulation simulation;
+    simulation.nodes = overload.nodes;
+    simulation.rate = overload.rate;
+    simulation.demand_factor = overload.demand_factor;
+    simulation.period = overload.period;
+    simulation.resumed = 0.1;
+    simulation.Run(overload.length);
+    auto& counts = simulation.counts;
+    EXPECT_GE(counts[QuotaUse::kResumedStream].AdmittedShare(),
+              1.5 * counts[QuotaUse::kNewRequest].AdmittedShare())
+        << overload.nodes << " " << overload.rate;
+    EXPECT_LE(simulation.max_in_window, simulation.MaxAllowedInWindow())
+        << overload.nodes << " " << overload.rate;
+    EXPECT_GE(simulation.mean_rate, 0.95 * simulation.rate)
+        << "new requests must get what resumed streams leave";
+  }
+}
+
+// 67 of 72 nodes are killed. The others may use their share of the rate only,
+// get the requests of all, and a fifth of these resume streams that broke.
+// Guards against refusing them as often as new requests.
+TEST(QuotaTableTest, ResumedStreamsGoOnAfterMostNodesWereKilled) {
+  constexpr uint32_t kSeeds = 20;
+  for (const double rate : {36000.0, 120000.0, 390000.0, 667000.0}) {
+    std::map<QuotaUse, RequestCounts> counts;
+    for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      QuotaSimulation simulation;
+      simulation.nodes = 72;
+      simulation.killed = 67;
+      simulation.rate = rate;
+      simulation.demand_factor = 0.9;
+      simulation.fill = 0.3;
+      simulation.resumed = 0.2;
+      simulation.seed = seed;
+      simulation.Run(seconds(5));
+      for (const auto& [use, in_run] : simulation.counts) {
+        counts[use].sent += in_run.sent;
+        counts[use].admitted += in_run.admitted;
+      }
+      EXPECT_LE(simulation.max_in_window, simulation.MaxAllowedInWindow());
+    }
+    EXPECT_GE(counts[QuotaUse::kResumedStream].AdmittedShare(),
+              1.5 * counts[QuotaUse::kNewRequest].AdmittedShare())
+        << rate;
+  }
+}
+
+// Guards against a wait that ends before a new request may be admitted, because
+// it does not include the refill of the reserve.
+TEST(QuotaTableTest, WaitOfANewRequestIncludesTheReserve) {
+  for (const double rate : {10000.0, 1000000.0}) {
+    const ServingConfig config = ConfigWith(rate, rate);
+    const Customer& customer = config.customers[0];
+    QuotaTable table(5000, 0.1);
+    table.SetNodes(4);
+    TimePoint now{seconds(100)};
+    table.Configure(config, now);
+    now += milliseconds(10);
+    const bool shared = table.View(customer.name).pooled;
+    ASSERT_EQ(shared, rate < 20000);
+    const double cost = shared ? 8000 : 100;
+    EXPECT_FALSE(table.Admit(customer, cost, now));
+    const Milliseconds wait = table.TimeUntil(customer, cost);
+    EXPECT_GT(wait, Milliseconds(20));
+    EXPECT_LT(table.TimeUntil(customer, cost, QuotaUse::kResumedStream), wait);
+    EXPECT_FALSE(table.Admit(customer, cost, now + wait - milliseconds(2)));
+    // Rounded down to whole milliseconds.
+    now += wait + milliseconds(1);
+    EXPECT_TRUE(table.Admit(customer, cost, now));
+  }
+}
+
+// Guards against a reserve that makes a new request wait forever whose cost is
+// a whole burst, or what a full burst and the overdraft allow together.
+TEST(QuotaTableTest, NewRequestMayUseAWholeBurst) {
+  for (const double overdraft : {0.0, 100.0, 28000.0}) {
+    for (const uint32_t nodes : {1U, 6U, 72U}) {
+      const ServingConfig config = ConfigWith(1000, 1000);
+      QuotaTable table(overdraft, 1.0);
+      table.SetNodes(nodes);
+      const TimePoint now{seconds(100)};
+      table.Configure(config, now);
+      EXPECT_TRUE(table.Admit(config.customers[0], 1000, now))
+          << overdraft << " " << nodes;
+      const TimePoint refilled = now + seconds(120);
+      const double most = 1000 + overdraft;
+      EXPECT_TRUE(table.Admit(config.customers[0], most, refilled))
+          << overdraft << " " << nodes;
+    }
+  }
+}
+
+// All nodes restart while a customer is at its limit. Guards against giving the
+// level that each may use before it hears of the others to new requests alone,
+// and against a new request that fits a full share but is never admitted.
+TEST(QuotaTableTest, RestartedNodeKeepsAReserveForResumedStreams) {
+  const ServingConfig config = ConfigWith(6000, 6000);
+  const TimePoint now{seconds(100)};
+  QuotaTable table(0, 0, /*peers_unknown=*/true);
+  table.Configure(config, now);
+  table.Restore({{"school", 0}}, milliseconds(500));
+  EXPECT_FALSE(table.Admit(config.customers[0], 300, now));
+  EXPECT_TRUE(
+      table.Admit(config.customers[0], 300, now, QuotaUse::kResumedStream));
+  EXPECT_TRUE(table.Admit(config.customers[0], 990, now + milliseconds(850)));
+}
+
 }  // namespace
 }  // namespace boragewharf::serving
