Review: the body of a refused HEAD stands before the next answer

A client that sends HEAD over its quota gets the body of the refusal, which its next answer then begins with.

--- a/review/standins-2/trial_cases.h
+++ b/review/standins-2/trial_cases.h
@@ -19,4 +19,7 @@
 /** A route is removed while streams of it wait to be taken up. */
 int RunRemovedRoute(const std::string& record_path);
 
+/** A tenant sends many times its usual, among it HEAD requests. */
+int RunRefusedHead(const std::string& record_path);
+
 }  // namespace boragewharf::review
--- a/review/standins-2/trial_main.cc
+++ b/review/standins-2/trial_main.cc
@@ -14,6 +14,7 @@
   const std::map<std::string, int (*)(const std::string&)> cases = {
       {"version-crash", boragewharf::review::RunVersionCrash},
       {"short-streams", boragewharf::review::RunShortStreams},
+      {"refused-head", boragewharf::review::RunRefusedHead},
       {"removed-route", boragewharf::review::RunRemovedRoute},
   };
   if (argc != 3 || !cases.contains(argv[1])) {
