--- a/review/standins-2/trial_base.cc
+++ b/review/standins-2/trial_base.cc
@@ -8,6 +8,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <set>
 #include <utility>
 
 #include "httpio/http_channel_base.h"
@@ -33,10 +34,14 @@
       begun(Clock::now()),
       generator(std::random_device{}()) {
   std::filesystem::create_directories(this->directory);
+  // A port that was probed before may be found free again.
+  std::set<uint16_t> used;
   for (uint16_t* port :
        {&this->ports.clients, &this->ports.ready, &this->ports.control,
         &this->ports.directory, &this->ports.metrics, &this->ports.peers}) {
-    *port = standins::FreePort();
+    do {
+      *port = standins::FreePort();
+    } while (!used.insert(*port).second);
   }
   this->ports.store = this->store.Address();
   this->ports.cloud = this->cloud.Address();
