--- a/packages/relay/src/exchange_resume.cc
+++ b/packages/relay/src/exchange_resume.cc
@@ -27,6 +27,18 @@
 constexpr uint32_t kUrgencyStep = 2;
 constexpr uint32_t kMaxUrgency = 9;
 
+std::string_view OriginName(StreamOrigin origin) {
+  switch (origin) {
+    case StreamOrigin::kKnown:
+      return "known";
+    case StreamOrigin::kUnknown:
+      return "unknown";
+    case StreamOrigin::kPending:
+      return "pending";
+  }
+  return "invalid";
+}
+
 }  // namespace
 
 bool Exchange::CheckStreamOrigin() {
@@ -34,17 +46,29 @@
     return true;
   }
   const StreamVersion origin = this->FindStreamOrigin();
+  const Duration wait =
+      origin.origin == StreamOrigin::kPending ? kStartWait : origin.told_within;
+  if (origin.origin != StreamOrigin::kKnown &&
+      this->WaitForStreamOrigin(wait)) {
+    return false;
+  }
+  this->core.log.Write(
+      EventLevel::kInfo, "stream_taken_up",
+      {{"id", this->request.facts.attempt_id},
+       {"resumes", this->request.facts.resumes},
+       {"service", this->service_name},
+       {"origin", OriginName(origin.origin)},
+       {"version", origin.version},
+       {"recorded", origin.recorded},
+       {"waited_ms", Millis(BootClock::now() - this->arrived)},
+       {"servers_revision", this->core.servers_revision}});
   switch (origin.origin) {
     case StreamOrigin::kUnknown:
-      if (!this->WaitForStreamOrigin(origin.told_within)) {
-        this->RecordUnknownStream(origin.told_within);
-        this->Refuse(503, std::nullopt, "stream_version_unknown");
-      }
+      this->RecordUnknownStream(origin.told_within);
+      this->Refuse(503, std::nullopt, "stream_version_unknown");
       return false;
     case StreamOrigin::kPending:
-      if (!this->WaitForStreamOrigin(kStartWait)) {
-        this->Refuse(503, kRetryAfterPending, "stream_version_pending");
-      }
+      this->Refuse(503, kRetryAfterPending, "stream_version_pending");
       return false;
     case StreamOrigin::kKnown:
       break;
