Ask other nodes and the store which version began a stream that is taken up

Cause: a node without a record of a stream concluded its version from the only one that its service had, as far as the node knew. That knowledge was as old as its last messages: nodes learn of a server up to 0.5 s after one another, and a node that watches the store counted it as followed until two watches had timed out, though nothing was heard of the store or of other nodes.

Change: StreamLookups. A take-up without a record asks up to six nodes, chosen by rendezvous hashing of the stream, and those that watch the store. A record decides. Without one, the only version counts if a node that watches the store has been answered by it since the question that the list has no further change, or, without an answer of the store, if most nodes are heard and two thirds of those asked agree on it. Else the stream is refused. Nodes ask each other on a port of their own, from the traffic loop. A store call is made only at a take-up without a record, one at a time for each of the three nodes that watch, and twice a second by a node that hears less than half of the others; without answers it no longer says that it follows the store. A node that nobody answers begins to watch the store.

Why it works: a server is in the store's list before it begins a stream, so that a list confirmed after the take-up has its version; and what is not confirmed does not count, whatever was the way of being out of step.

Measured: with lookups passed over (as before), 7 of 14 tests of StreamLookupsTest failed, two of them on what is new (lookups that are asked); with the old condition StoreContactTest.NodeThatHearsFewNeedsRecentAnswers fails.

--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -489,6 +489,7 @@
   uint32_t forwards = 0;  ///< Messages forwarded in the current second.
   rollout::RolloutTable rollouts;
   StreamRestoreState streams;
+  ListConfirmationState list_confirmation;
 };
 
 /** Interval between saves of quota levels and usage counts. It bounds how
--- a/packages/fleet/include/fleet/platform_base.h
+++ b/packages/fleet/include/fleet/platform_base.h
@@ -60,6 +60,15 @@
   /** Reads the saved streams of all nodes. Yields StreamsRead. */
   virtual void Read(const ReadStreams& wanted, EventSink sink) = 0;
 
+  /**
+   * Asks the store for changes of the server list since the last ones that were
+   * passed on, passes them on to the sink of Follow(), and yields
+   * ListConfirmed. Fails while the store is not watched, or no list has been
+   * read.
+   * @pre Follow() was called.
+   */
+  virtual void Confirm(const ConfirmList& wanted, EventSink sink) = 0;
+
   /** Reports a window's counts. Yields UsageSent. */
   virtual void Send(const SendUsage& usage, EventSink sink) = 0;
 
--- a/packages/fleet/include/fleet/stream_save_type.h
+++ b/packages/fleet/include/fleet/stream_save_type.h
@@ -1,6 +1,7 @@
 /**
  * @file stream_save_type.h
- * Events and effects of the saves of begun streams.
+ * Events and effects of the saves of begun streams, and of the question whether
+ * the server list is that of the store.
  *
  * Each node saves its own streams in one object. After a restart, it reads the
  * objects of all nodes.
@@ -8,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,9 +55,28 @@
   int64_t clock_wall_ms = 0;
 };
 
-/** An event of the saves. */
+/** The data plane wants to know whether the server list is that of the store.
+ */
+struct ListConfirmationWanted {
+  /** A node that does not watch the store is to begin to: none of those that do
+   * has answered it. */
+  bool begin_to_watch = false;
+};
+
+/** A ConfirmList effect has completed. The changes that the store has answered
+ * with were passed on before. */
+struct ListConfirmed {
+  bool confirmed = false;
+};
+
+/** An event of the saves, or of the server list's confirmation. */
 struct StreamEvent {
-  std::variant<StreamRestoreWanted, StreamSaveWanted, StreamsSaved, StreamsRead>
+  std::variant<StreamRestoreWanted,
+               StreamSaveWanted,
+               StreamsSaved,
+               StreamsRead,
+               ListConfirmationWanted,
+               ListConfirmed>
       event;
 };
 
@@ -86,9 +107,25 @@
   bool saved = false;
 };
 
-/** An effect of the saves. */
+/** Ask the store for changes of the server list that this node has not been
+ * told of. Completes with ListConfirmed. */
+struct ConfirmList {};
+
+/** Tell the data plane that the published server list was that of the store, or
+ * a later one, at the given time. */
+struct ReportListConfirmed {
+  TimePoint asked;
+};
+
+/** An effect of the saves, or of the server list's confirmation. */
 struct StreamEffect {
-  std::variant<ReadStreams, SaveStreams, RestoreStreams, EndStreamSave> effect;
+  std::variant<ReadStreams,
+               SaveStreams,
+               RestoreStreams,
+               EndStreamSave,
+               ConfirmList,
+               ReportListConfirmed>
+      effect;
 };
 
 // State.
@@ -103,4 +140,17 @@
   uint32_t failed_reads = 0;
 };
 
+/** Progress of the confirmation of the server list. */
+struct ListConfirmationState {
+  bool wanted = false;  ///< Since the call began, or none is under way.
+  bool calling = false;
+  TimePoint asked;  ///< When the last call was made.
+  /** When the last call that was answered had been made. */
+  std::optional<TimePoint> confirmed;
+  /** Until when this node watches the store although others do. */
+  TimePoint watch_until;
+  /** Since when no majority of the nodes has been heard. */
+  std::optional<TimePoint> few_heard_since;
+};
+
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/fleet_cmd.cc
+++ b/packages/fleet/src/fleet_cmd.cc
@@ -12,6 +12,7 @@
 #include "fetch_cmd.h"
 #include "fleet/state_order_func.h"
 #include "forward_cmd.h"
+#include "list_confirmation_cmd.h"
 #include "progress_read_cmd.h"
 #include "rollout_cmd.h"
 #include "scaling_cmd.h"
@@ -316,6 +317,7 @@
             AdvanceProgressRead(state, now, effects);
             AdvanceDuties(state, now, effects);
             AdvanceStreamRestore(state, now, effects);
+            AdvanceListConfirmation(state, now, effects);
           },
       },
       event);
--- a/packages/fleet/src/server_list_cmd.cc
+++ b/packages/fleet/src/server_list_cmd.cc
@@ -473,4 +473,12 @@
   }
 }
 
+void PublishPendingList(FleetState& state,
+                        TimePoint now,
+                        std::vector<Effect>& effects) {
+  if (state.servers_unpublished) {
+    PublishServerList(state, now, effects);
+  }
+}
+
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/server_list_cmd.h
+++ b/packages/fleet/src/server_list_cmd.h
@@ -46,4 +46,9 @@
                        TimePoint now,
                        std::vector<Effect>& effects);
 
+/** Publishes changes that wait for the next tick. */
+void PublishPendingList(FleetState& state,
+                        TimePoint now,
+                        std::vector<Effect>& effects);
+
 }  // namespace boragewharf::fleet
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -13,6 +13,7 @@
 #include "fleet/fleet_cmd.h"
 #include "fleet/state_order_func.h"
 #include "forward_cmd.h"
+#include "list_confirmation_cmd.h"
 #include "rollout_cmd.h"
 #include "serving/crash_evidence_func.h"
 #include "serving/crash_suspects_base.h"
@@ -113,7 +114,7 @@
   message.status.leaving = state.leaving;
   message.status.leaving_ms =
       state.leaving ? BootMs(now) - BootMs(state.leaving_since) : 0;
-  message.status.follows_store = state.following && state.store_reachable;
+  message.status.follows_store = WatchesStore(state, now);
   message.status.holds_duties = HoldsDuties(state, now);
   message.status.config_revision = state.config_revision;
   message.status.servers_revision = state.servers_revision;
@@ -300,15 +301,23 @@
   return groups;
 }
 
+/** Addresses of the nodes that are heard and watch the store. */
+std::vector<uint32_t> HeardStoreWatchers(const FleetState& state,
+                                         TimePoint now) {
+  std::vector<uint32_t> ips;
+  for (const auto& [ip, entry] : state.peers.All()) {
+    if (entry.status.follows_store &&
+        !IsSilent(entry.last_message_at, MessagePeriod(state), now)) {
+      ips.push_back(serving::PackIp(ip));
+    }
+  }
+  return ips;
+}
+
 /** Whether the store's changes reach this node. */
 bool IsStoreFollowed(const FleetState& state, TimePoint now) {
-  return (state.following && state.store_reachable &&
-          !state.store_uncertain_since) ||
-         std::ranges::any_of(state.peers.All(), [&](const auto& peer) {
-           const PeerEntry& entry = peer.second;
-           return entry.status.follows_store &&
-                  !IsSilent(entry.last_message_at, MessagePeriod(state), now);
-         });
+  return (WatchesStore(state, now) && !state.store_uncertain_since) ||
+         !HeardStoreWatchers(state, now).empty();
 }
 
 /** Adds what a group of nodes gets to the message for all. */
@@ -484,6 +493,8 @@
     effects.emplace_back(std::move(send));
   }
   summary.store_followed = IsStoreFollowed(state, now);
+  summary.watches_store = WatchesStore(state, now);
+  summary.store_watchers = HeardStoreWatchers(state, now);
   summary.prefill_speeds = PrefillSpeeds(state, now);
   summary.wall_offset_ms = state.wall_offset_ms.value_or(0);
   summary.informed =
--- a/packages/fleet/src/store_following_cmd.cc
+++ b/packages/fleet/src/store_following_cmd.cc
@@ -78,9 +78,10 @@
       (!state.following ||
        now - *state.enough_followers_since >= kFollowerSettleTime);
   // The duty holder watches the store so that it replaces lost servers sooner.
-  const bool follow = !WaitsForPeers(state, now) &&
-                      (!settled || !state.config || !state.servers_known ||
-                       HoldsDuties(state, now));
+  const bool follow =
+      !WaitsForPeers(state, now) &&
+      (!settled || !state.config || !state.servers_known ||
+       HoldsDuties(state, now) || now < state.list_confirmation.watch_until);
   const bool eager = HoldsDuties(state, now) || !other_is_eager;
   if (follow == state.following && eager == state.eager) {
     return;
--- a/packages/fleet/src/stream_save_cmd.cc
+++ b/packages/fleet/src/stream_save_cmd.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "list_confirmation_cmd.h"
 #include "serving/stream_records_type.h"
 #include "spread_cmd.h"
 
@@ -168,6 +169,12 @@
           [&](const StreamsRead& read) {
             ApplyStreamsRead(state, read, now, effects);
           },
+          [&](const ListConfirmationWanted& wanted) {
+            WantListConfirmation(state, wanted, now, effects);
+          },
+          [&](const ListConfirmed& answer) {
+            ApplyListConfirmed(state, answer, now, effects);
+          },
       },
       event.event);
 }
--- a/packages/fleet/tests/store_contact_test.cc
+++ b/packages/fleet/tests/store_contact_test.cc
@@ -71,6 +71,33 @@
     }
   }
 
+  /** Receives messages of two nodes that do not watch the store. */
+  void HearOthers(Duration time) {
+    for (const TimePoint end = this->now + time; this->now < end;) {
+      this->sequence += 1;
+      for (const char* ip : {"10.0.0.2", "10.0.0.3"}) {
+        this->Apply(PeerMessageReceived{this->Message(ip, this->sequence)});
+      }
+      this->TickFor(kTickPeriod);
+    }
+  }
+
+  /** Whether the last event made a call for the confirmation of the list. */
+  bool AsksForConfirmation() const { return this->FindStream<ConfirmList>(); }
+
+  template <class Wanted>
+  const Wanted* FindStream() const {
+    for (const Effect& effect : this->effects) {
+      const auto* stream = std::get_if<StreamEffect>(&effect);
+      const auto* found =
+          stream == nullptr ? nullptr : std::get_if<Wanted>(&stream->effect);
+      if (found != nullptr) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
   uint64_t sequence = 0;
 };
 
@@ -115,5 +142,90 @@
   EXPECT_TRUE(this->StoreFollowed());
 }
 
+// Guards against a node that is cut off from the store and the others, and
+// takes the store for followed until its watches have timed out (review case
+// 9).
+TEST_F(StoreContactTest, NodeThatHearsFewNeedsRecentAnswers) {
+  this->Configure();
+  this->HearOthers(seconds(2));
+  ASSERT_TRUE(this->state.following);
+  uint32_t calls = 0;
+  const auto wait = [&](bool store_answers) {
+    for (int i = 0; i < 30; ++i) {
+      this->TickFor(kTickPeriod);
+      if (this->AsksForConfirmation()) {
+        calls += 1;
+        this->Apply(StreamEvent{ListConfirmed{store_answers}});
+      }
+    }
+  };
+  wait(true);
+  EXPECT_TRUE(this->StoreFollowed());
+  EXPECT_GE(calls, 3U);
+  wait(false);
+  EXPECT_FALSE(this->StoreFollowed());
+  EXPECT_LE(calls, 14U) << "store calls are billed";
+  this->HearOthers(milliseconds(300));
+  EXPECT_TRUE(this->StoreFollowed());
+}
+
+// Guards against a confirmation that reaches the data plane before the list
+// that it is about, which is published with the next tick if it is large.
+TEST_F(StoreContactTest, ConfirmedListIsPublishedFirst) {
+  this->Configure();
+  std::vector<serving::BackendServer> servers;
+  for (int i = 0; i < 300; ++i) {
+    servers.push_back(Server("s" + std::to_string(i)));
+  }
+  this->Apply(ServersRead{12, servers, false});
+  this->Apply(StreamEvent{ListConfirmationWanted{}});
+  ASSERT_TRUE(this->AsksForConfirmation());
+  const TimePoint asked = this->now;
+  this->now += milliseconds(10);
+  this->Apply(ServerChanged{13, "new", Server("new")});
+  EXPECT_EQ(this->Find<PublishServers>(), nullptr);
+  this->Apply(StreamEvent{ListConfirmed{true}});
+  ASSERT_EQ(this->effects.size(), 2U);
+  const auto* published = std::get_if<PublishServers>(this->effects.data());
+  ASSERT_NE(published, nullptr);
+  EXPECT_EQ(published->servers->servers.size(), 301U);
+  ASSERT_NE(this->FindStream<ReportListConfirmed>(), nullptr);
+  EXPECT_EQ(this->FindStream<ReportListConfirmed>()->asked, asked);
+}
+
+// Guards against calls at the same time, a wish that is lost while a call is
+// under way, and calls in quick succession.
+TEST_F(StoreContactTest, ConfirmationsAreAskedForOneByOne) {
+  this->Configure();
+  this->TickFor(kTickPeriod);
+  this->Apply(StreamEvent{ListConfirmationWanted{}});
+  EXPECT_TRUE(this->AsksForConfirmation());
+  this->Apply(StreamEvent{ListConfirmationWanted{}});
+  EXPECT_FALSE(this->AsksForConfirmation());
+  this->Apply(StreamEvent{ListConfirmed{false}});
+  EXPECT_EQ(this->FindStream<ReportListConfirmed>(), nullptr);
+  EXPECT_FALSE(this->AsksForConfirmation()) << "at once after the last one";
+  this->TickFor(kTickPeriod);
+  EXPECT_TRUE(this->AsksForConfirmation());
+}
+
+// Guards against a node that none of the store's watchers answers, and that
+// asks nobody: it has to watch the store itself.
+TEST_F(StoreContactTest, NodeWithoutAnswersBeginsToWatch) {
+  this->Configure();
+  this->HearFollowers(seconds(3));
+  ASSERT_FALSE(this->state.following);
+  this->Apply(StreamEvent{ListConfirmationWanted{false}});
+  EXPECT_FALSE(this->AsksForConfirmation());
+  EXPECT_FALSE(this->state.following);
+  this->Apply(StreamEvent{ListConfirmationWanted{true}});
+  ASSERT_NE(this->Find<FollowStore>(), nullptr);
+  EXPECT_TRUE(this->AsksForConfirmation());
+  this->HearFollowers(seconds(2));
+  EXPECT_TRUE(this->state.following);
+  this->HearFollowers(seconds(4));
+  EXPECT_FALSE(this->state.following) << "the others are heard";
+}
+
 }  // namespace
 }  // namespace boragewharf::fleet
--- a/packages/node/include/node/control_loop_base.h
+++ b/packages/node/include/node/control_loop_base.h
@@ -45,6 +45,8 @@
   virtual void OnSuspectsRestored(const serving::SuspectReport& suspects) = 0;
   virtual void OnStreamsRestored(const fleet::RestoreStreams& restored) = 0;
   virtual void OnStreamSaveEnded(const fleet::EndStreamSave& ended) = 0;
+  /** The list of the last OnServersPublished() was that of the store. */
+  virtual void OnListConfirmed(const fleet::ReportListConfirmed& confirmed) = 0;
 };
 
 /** Response of an HTTP endpoint of the control loop. */
--- a/packages/node/include/node/node_base.h
+++ b/packages/node/include/node/node_base.h
@@ -17,6 +17,7 @@
 #include "node/loop_delay_base.h"
 #include "node/node_settings.h"
 #include "node/signal_receiver_base.h"
+#include "node/stream_socket_base.h"
 #include "relay/traffic_core_base.h"
 
 namespace boragewharf::node {
@@ -28,7 +29,7 @@
     CounterRegistry& counters)>;
 
 /** A node process of a deployment. */
-class Node : private ControlStateListener {
+class Node : private ControlStateListener, private serving::StreamLink {
  public:
   /**
    * @param settings_path Settings file, which is read again when it changes.
@@ -62,6 +63,9 @@
   void OnSuspectsRestored(const serving::SuspectReport& suspects) override;
   void OnStreamsRestored(const fleet::RestoreStreams& restored) override;
   void OnStreamSaveEnded(const fleet::EndStreamSave& ended) override;
+  void OnListConfirmed(const fleet::ReportListConfirmed& confirmed) override;
+  void Send(uint32_t ip, const serving::StreamMessage& message) override;
+  void ConfirmServerList(bool begin_to_watch) override;
   /** Passes the streams that are to be saved now to the control loop, and
    * whether the saves of all nodes are to be read. */
   void SaveStreams(TimePoint now);
@@ -97,6 +101,7 @@
   std::unique_ptr<fleet::Platform> platform;
   std::optional<ControlLoop> control;
   std::optional<relay::TrafficCore> traffic;
+  std::optional<StreamSocket> stream_socket;  ///< Traffic loop only.
   std::optional<httpio::HttpListener> client_listener;
   std::optional<boost::asio::steady_timer> traffic_timer;
   boost::asio::steady_timer settings_timer;
--- a/packages/node/include/node/node_settings.h
+++ b/packages/node/include/node/node_settings.h
@@ -47,7 +47,9 @@
   std::optional<Endpoint> control;    ///< State fetches by other nodes.
   std::optional<Endpoint> directory;  ///< Address lookups by clients.
   Endpoint metrics;
-  uint16_t peer_port = 0;       ///< UDP, the same on all nodes.
+  uint16_t peer_port = 0;  ///< UDP, the same on all nodes.
+  /** UDP, the same on all nodes; 0: the one beside peer_port. */
+  uint16_t stream_port = 0;
   std::vector<Endpoint> seeds;  ///< Nodes to contact first.
   bool first_start = false;     ///< There is no saved state to read.
   Endpoint store;
@@ -55,6 +57,15 @@
   std::vector<std::string> duties;     ///< "usage" and "scale" are supported.
   uint32_t log_lines_per_second = 40;  ///< For each event name.
   DeploymentBounds bounds;
+
+  /** Port of the messages between the data planes of the nodes. */
+  uint16_t StreamPort() const {
+    if (this->stream_port != 0) {
+      return this->stream_port;
+    }
+    return this->peer_port == UINT16_MAX ? this->peer_port - 1
+                                         : this->peer_port + 1;
+  }
 };
 
 /**
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -341,6 +341,12 @@
                  [&](const fleet::EndStreamSave& ended) {
                    this->state_listener.OnStreamSaveEnded(ended);
                  },
+                 [&](const fleet::ConfirmList& wanted) {
+                   this->platform.Confirm(wanted, handle_event);
+                 },
+                 [&](const fleet::ReportListConfirmed& confirmed) {
+                   this->state_listener.OnListConfirmed(confirmed);
+                 },
              },
              effect.effect);
 }
--- a/packages/node/src/node_base.cc
+++ b/packages/node/src/node_base.cc
@@ -106,6 +106,12 @@
   ControlStateListener& listener = *this;
   this->control.emplace(this->control_loop, this->settings, *this->platform,
                         listener, *this->log, this->counters);
+  this->stream_socket.emplace(
+      this->traffic_loop, this->traffic_guard, this->counters,
+      [this](uint32_t sender, const serving::StreamMessage& message) {
+        this->traffic->OnStreamMessage(sender, message);
+      });
+  this->traffic->SetStreamLink(*this);
   this->traffic_timer.emplace(this->traffic_loop);
 }
 
@@ -121,6 +127,7 @@
   });
   try {
     this->control->Start();
+    this->stream_socket->Start(this->settings.ip, this->settings.StreamPort());
     if (this->settings.clients) {
       this->client_listener.emplace(this->traffic_loop, *this->settings.clients,
                                     *this->traffic);
@@ -241,6 +248,24 @@
   });
 }
 
+void Node::OnListConfirmed(const fleet::ReportListConfirmed& confirmed) {
+  // After the list, which was posted before.
+  this->PostToTraffic("list_confirmed", [this, asked = confirmed.asked] {
+    this->traffic->OnListConfirmed(asked);
+  });
+}
+
+void Node::Send(uint32_t ip, const serving::StreamMessage& message) {
+  this->stream_socket->Send(ip, message);
+}
+
+void Node::ConfirmServerList(bool begin_to_watch) {
+  asio::post(this->control_loop, [this, begin_to_watch] {
+    this->control->Handle(
+        fleet::StreamEvent{fleet::ListConfirmationWanted{begin_to_watch}});
+  });
+}
+
 void Node::SaveStreams(TimePoint now) {
   if (this->traffic->TakeStreamRestoreWanted()) {
     asio::post(this->control_loop, [this] {
--- a/packages/node/src/node_settings.cc
+++ b/packages/node/src/node_settings.cc
@@ -101,6 +101,8 @@
   settings.metrics = ReadRequiredEndpoint(reader, "metrics");
   settings.peer_port =
       static_cast<uint16_t>(reader.RequiredWhole("peerPort", {0, 1, 65535}));
+  settings.stream_port =
+      static_cast<uint16_t>(reader.Whole("streamPort", {0, 0, 65535}));
   for (const std::string& seed :
        reader.Texts("seeds", 0, kMaxSeeds, kEndpointRule)) {
     settings.seeds.push_back(*ParseEndpoint(seed));
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -32,6 +32,7 @@
 #include "serving/retry_base.h"
 #include "serving/routing_policy_base.h"
 #include "serving/shared_state_base.h"
+#include "serving/stream_lookups_base.h"
 #include "serving/stream_records_base.h"
 #include "serving/stream_versions_base.h"
 
@@ -132,6 +133,20 @@
     return this->stream_records.TakeRestoreWanted();
   }
 
+  /** Sets the way to the data planes of the other nodes, which must outlive
+   * this object. */
+  void SetStreamLink(serving::StreamLink& link) {
+    this->stream_lookups.SetLink(link);
+  }
+
+  /** Handles a datagram of another node's data plane.
+   * @param sender PackIp() of that node. */
+  void OnStreamMessage(uint32_t sender, const serving::StreamMessage& message);
+
+  /** The store has confirmed the list of the last SetServers(), as of @p asked.
+   */
+  void OnListConfirmed(TimePoint asked);
+
   /** Adds the streams that all nodes have saved, as asked for at @p asked. */
   void RestoreStreams(const std::vector<serving::SavedStreams>& saved,
                       TimePoint asked) {
@@ -269,7 +284,8 @@
   /** Members that exchange state with other nodes; not owned. */
   std::vector<serving::SharedState*> shared_states;
   serving::StreamRecords stream_records;
-  serving::StreamVersions* stream_versions = &this->stream_records;
+  serving::StreamLookups stream_lookups{this->stream_records};
+  serving::StreamVersions* stream_versions = &this->stream_lookups;
   std::mt19937_64 generator;
   std::unordered_map<httpio::ServerConnection*, std::shared_ptr<Exchange>>
       exchanges;
--- a/packages/relay/src/exchange_resume.cc
+++ b/packages/relay/src/exchange_resume.cc
@@ -52,16 +52,15 @@
       this->WaitForStreamOrigin(wait)) {
     return false;
   }
-  this->core.log.Write(
-      EventLevel::kInfo, "stream_taken_up",
-      {{"id", this->request.facts.attempt_id},
-       {"resumes", this->request.facts.resumes},
-       {"service", this->service_name},
-       {"origin", OriginName(origin.origin)},
-       {"version", origin.version},
-       {"recorded", origin.recorded},
-       {"waited_ms", Millis(BootClock::now() - this->arrived)},
-       {"servers_revision", this->core.servers_revision}});
+  this->core.log.Write(EventLevel::kInfo, "stream_taken_up",
+                       {{"id", this->request.facts.attempt_id},
+                        {"resumes", this->request.facts.resumes},
+                        {"service", this->service_name},
+                        {"origin", OriginName(origin.origin)},
+                        {"version", origin.version},
+                        {"recorded", origin.recorded},
+                        {"waited_ms", Millis(BootClock::now() - this->arrived)},
+                        {"servers_revision", this->core.servers_revision}});
   switch (origin.origin) {
     case StreamOrigin::kUnknown:
       this->RecordUnknownStream(origin.told_within);
@@ -112,7 +111,7 @@
   std::string_view begun_at;
   for (const serving::SplitTarget& target : this->route->targets) {
     StreamVersion found = this->core.stream_versions->Find(
-        target.service, begun_by, BootClock::now());
+        target.service, begun_by, this->arrived, BootClock::now());
     const Duration told_within =
         std::max(origin.told_within, found.told_within);
     const bool known = found.origin == StreamOrigin::kKnown;
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -140,6 +140,19 @@
   this->StartWaitingRequests();
 }
 
+void TrafficCore::OnStreamMessage(uint32_t sender,
+                                  const serving::StreamMessage& message) {
+  if (this->stream_lookups.OnMessage(sender, message, BootClock::now())) {
+    this->StartWaitingRequests();
+  }
+}
+
+void TrafficCore::OnListConfirmed(TimePoint asked) {
+  if (this->stream_lookups.OnListConfirmed(asked, BootClock::now())) {
+    this->StartWaitingRequests();
+  }
+}
+
 void TrafficCore::SetPeers(const serving::PeerSummary& summary) {
   this->nodes = std::max<uint32_t>(1, summary.nodes);
   this->ready_nodes = summary.ready_nodes;
@@ -162,6 +175,7 @@
   for (serving::SharedState* state : this->shared_states) {
     state->MergePeers(summary, BootClock::now());
   }
+  this->stream_lookups.SetPeers(summary);
   this->ApplyServerSpeeds();
   bool any_leaves = false;
   for (const serving::LeavingServer& announced : summary.leaving) {
@@ -224,6 +238,16 @@
       .Set(static_cast<int64_t>(this->server_speeds.InvalidReports()));
   this->counters.Get("stream_reports_invalid", {}, MetricKind::kGauge)
       .Set(static_cast<int64_t>(this->stream_records.InvalidReports()));
+  const serving::StreamLookupCounts& lookups = this->stream_lookups.Counts();
+  for (const auto& [outcome, count] :
+       {std::pair("recorded", lookups.recorded),
+        std::pair("only_version", lookups.only_version),
+        std::pair("unknown", lookups.unknown),
+        std::pair("unverified", lookups.unverified)}) {
+    this->counters
+        .Get("stream_lookups_total", "outcome=\"" + std::string(outcome) + "\"")
+        .Set(static_cast<int64_t>(count));
+  }
   this->counters.Get("streams_remembered", {}, MetricKind::kGauge)
       .Set(static_cast<int64_t>(this->stream_records.Size()));
   this->counters.Get("stream_versions_complete", {}, MetricKind::kGauge)
@@ -340,6 +364,7 @@
   // Only one check is passed over, as a busy loop may be late for all of them.
   this->finds_silence = !late || !this->finds_silence;
   this->last_check = now;
+  this->stream_lookups.CheckTime(now);
   this->StartWaitingRequests();
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(this->exchanges.size());
--- a/packages/serving/include/serving/peer_type.h
+++ b/packages/serving/include/serving/peer_type.h
@@ -193,7 +193,9 @@
   double silent_share = 0;          ///< Share of nodes that may be unreachable.
   /** This node, or one that is heard, follows the store. */
   bool store_followed = false;
-  int64_t wall_offset_ms = 0;  ///< Time of day minus the boot clock.
+  bool watches_store = false;            ///< This node itself.
+  std::vector<uint32_t> store_watchers;  ///< Those of heard_ips that do.
+  int64_t wall_offset_ms = 0;            ///< Time of day minus the boot clock.
   /** Quota units admitted by other nodes since the last summary, by customer;
    * negative to correct an earlier estimate that was too high. */
   std::map<NameHash, double> admitted;
--- a/packages/serving/include/serving/stream_records_base.h
+++ b/packages/serving/include/serving/stream_records_base.h
@@ -24,6 +24,10 @@
 
 namespace boragewharf::serving {
 
+/** Hash by which a stream is recorded. @param attempt_id Of the request that
+ * began it. @note Thread-safe. */
+uint64_t HashStream(NameHash service, std::string_view attempt_id);
+
 /**
  * Remembers which version began each recent stream, of this node and of the
  * others.
@@ -36,7 +40,7 @@
  *
  * Pure state, without any I/O. Not thread-safe; times are passed in.
  */
-class StreamRecords : public StreamVersions, public SharedState {
+class StreamRecords : public SharedState {
  public:
   /** @param first_start Whether the whole deployment starts for the first time:
    *     there are no earlier streams and no saves. */
@@ -48,20 +52,48 @@
   /** Adds the versions of the listed servers to the history. */
   void SetServers(const ServerSet& set, TimePoint now);
 
-  void RecordBegin(std::string_view service,
+  /** See StreamVersions.
+   * @return Whether the other nodes are to be told of the stream: they may not
+   *     conclude its version from that of its service. */
+  bool RecordBegin(std::string_view service,
                    std::string_view attempt_id,
                    std::string_view version,
-                   TimePoint now) override;
+                   TimePoint now);
+  /** See StreamVersions. */
   void RecordEnd(std::string_view service,
                  std::string_view attempt_id,
-                 TimePoint now) override;
-  /** Does nothing if kMaxUnknown streams were recorded so lately. */
+                 TimePoint now);
+  /** See StreamVersions. Does nothing if kMaxUnknown streams were recorded so
+   * lately. */
   void RecordUnknown(std::string_view service,
                      std::string_view attempt_id,
-                     TimePoint now) override;
+                     TimePoint now);
+
+  /** Version that began a stream as far as this node knows. That a service has
+   * had a single version is knowledge of the last reports, up to a second old;
+   * see StreamLookups. */
   StreamVersion Find(std::string_view service,
                      std::string_view attempt_id,
-                     TimePoint now) const override;
+                     TimePoint now) const;
+
+  /** The record of a stream; empty if there is none.
+   * @param stream See HashStream(). */
+  std::optional<BegunStreams> RecordOf(uint64_t stream, TimePoint now) const;
+
+  /** The versions of a service that were in use lately, at most
+   * kMaxAnsweredVersions. */
+  VersionHistory HistoryOf(NameHash service, TimePoint now) const;
+
+  /** Whether the history has all versions that all nodes used lately, as far as
+   * this node can tell. */
+  bool IsCurrent(TimePoint now) const {
+    return this->complete && this->IsInTouch(now);
+  }
+
+  /** Merges streams and versions that another node has told directly. */
+  void MergeTold(const std::vector<BegunStreams>& streams,
+                 const std::vector<VersionHistory>& versions,
+                 TimePoint received);
 
   void AppendExtensions(std::vector<PeerExtension>& extensions,
                         TimePoint now) override;
--- a/packages/serving/include/serving/stream_versions_base.h
+++ b/packages/serving/include/serving/stream_versions_base.h
@@ -20,7 +20,7 @@
 enum class StreamOrigin : uint8_t {
   kKnown,
   kUnknown,  ///< Nothing tells it any more.
-  kPending,  ///< Saved records have not been read yet; they may tell it.
+  kPending,  ///< Other nodes or saved records may still tell it.
 };
 
 /** Version that began a stream. */
@@ -71,11 +71,18 @@
                              std::string_view attempt_id,
                              TimePoint now) = 0;
 
-  /** Version that began the stream of @p attempt_id, which may be empty if the
-   * client does not state it. */
+  /**
+   * Version that began a stream that a client takes up. While it is pending, it
+   * may be known with a later call.
+   * @param attempt_id As in RecordBegin(); empty if the client does not state
+   *     it.
+   * @param taken_up When the client's request arrived. What other nodes or the
+   *     store said of the only version before does not count.
+   */
   virtual StreamVersion Find(std::string_view service,
                              std::string_view attempt_id,
-                             TimePoint now) const = 0;
+                             TimePoint taken_up,
+                             TimePoint now) = 0;
 };
 
 }  // namespace boragewharf::serving
--- a/packages/serving/src/stream_records_base.cc
+++ b/packages/serving/src/stream_records_base.cc
@@ -64,12 +64,12 @@
 constexpr int kPeriodsUntilTold = 3;
 constexpr seconds kMaxToldTime(2);
 
+}  // namespace
+
 uint64_t HashStream(NameHash service, std::string_view attempt_id) {
   return XXH64(attempt_id.data(), attempt_id.size(), service);
 }
 
-}  // namespace
-
 StreamRecords::StreamRecords(bool first_start, TimePoint now)
     : started(now),
       keep_time(kMaxKeepTime),
@@ -117,12 +117,12 @@
   this->Expire(now);
 }
 
-void StreamRecords::RecordBegin(std::string_view service,
+bool StreamRecords::RecordBegin(std::string_view service,
                                 std::string_view attempt_id,
                                 std::string_view version,
                                 TimePoint now) {
   if (attempt_id.empty()) {
-    return;
+    return false;
   }
   const NameHash name = HashName(service);
   const std::string text(version);
@@ -133,11 +133,13 @@
   const uint64_t stream = HashStream(name, attempt_id);
   this->AddRecord(stream, name, text, now, true);
   // What no server can go on with is told also beside a single version.
-  if (unknown || this->HasSeveralVersions(name)) {
+  const bool is_told = unknown || this->HasSeveralVersions(name);
+  if (is_told) {
     this->records.at(stream).queued = true;
     this->to_tell.front().push_front(stream);
     this->save_wanted = true;
   }
+  return is_told;
 }
 
 void StreamRecords::RecordEnd(std::string_view service,
--- a/packages/serving/src/stream_records_exchange.cc
+++ b/packages/serving/src/stream_records_exchange.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/body_func.h"
+#include "serving/stream_lookup_type.h"
 #include "serving/stream_records_base.h"
 #include "stream_records_bounds.h"
 
@@ -140,6 +141,41 @@
   }
 }
 
+std::optional<BegunStreams> StreamRecords::RecordOf(uint64_t stream,
+                                                    TimePoint now) const {
+  const auto found = this->records.find(stream);
+  if (found == this->records.end() ||
+      found->second.version.size() > kMaxVersionBytes) {
+    return std::nullopt;
+  }
+  const Record& record = found->second;
+  return BegunStreams{
+      record.service, record.version, {{stream, AgeUnits(record.begun, now)}}};
+}
+
+VersionHistory StreamRecords::HistoryOf(NameHash service, TimePoint now) const {
+  VersionHistory told{service, {}};
+  const auto uses = this->history.find(service);
+  if (uses == this->history.end()) {
+    return told;
+  }
+  for (const auto& [version, use] : uses->second) {
+    if (version.size() <= kMaxVersionBytes &&
+        told.versions.size() < kMaxAnsweredVersions) {
+      const TimePoint last = use.listed ? now : use.last;
+      told.versions.push_back({version, AgeMs(last, now)});
+    }
+  }
+  return told;
+}
+
+void StreamRecords::MergeTold(const std::vector<BegunStreams>& streams,
+                              const std::vector<VersionHistory>& versions,
+                              TimePoint received) {
+  // Not complete: of one service at most.
+  this->MergeReport({false, versions, streams}, received, false);
+}
+
 void StreamRecords::AppendExtensions(std::vector<PeerExtension>& extensions,
                                      TimePoint now) {
   this->CheckSuspension(now);
--- a/packages/serving/tests/stream_records_fixture.h
+++ b/packages/serving/tests/stream_records_fixture.h
@@ -135,18 +135,26 @@
         summary.nodes = static_cast<uint32_t>(this->nodes.size());
         summary.message_period = kPeriod;
         summary.store_followed = this->store_followed;
-        for (const TestNode& other : this->nodes) {
-          if (other.records && &other != &node && !other.frozen &&
-              !other.cut_off && !node.cut_off) {
-            summary.heard_ips.push_back(1);
+        for (size_t other = 0; other < this->nodes.size(); ++other) {
+          if (&this->nodes[other] != &node && this->nodes[other].records &&
+              !this->nodes[other].frozen && !this->nodes[other].cut_off &&
+              !node.cut_off) {
+            summary.heard_ips.push_back(Ip(other));
           }
         }
         summary.extensions = std::exchange(node.received, {});
         node.records->MergePeers(summary, this->now);
+        this->OnSummary(node, summary);
       }
     }
   }
 
+  /** Address of a node, as from PackIp(). */
+  static uint32_t Ip(size_t node) { return static_cast<uint32_t>(node + 1); }
+
+  /** Called after a node has merged the summary of a message period. */
+  virtual void OnSummary(const TestNode&, const PeerSummary&) {}
+
   void Report(size_t sender) {
     TestNode& node = this->nodes[sender];
     if (!node.records || node.frozen) {
