Let a request keep the configuration that its customer is part of

Cause: a request that waits is started again with the newest configuration and gives up the one that it had. If the route is gone, the request was refused before its customer was looked up again; the line in the log read its name from freed memory. Where that threw, the connection was not told that the answer had ended.

Change: route, customer and service each own the configuration that they are part of, so that none can outlive it, and all are reset before they are looked up. No other pointer or view of relay, serving, httpio, servermodel and rollout into a configuration, list or customer was found that is kept over a wait: servers are shared pointers, the table by hash is made anew with each list, the rest are values.

--- a/packages/relay/src/exchange_base.cc
+++ b/packages/relay/src/exchange_base.cc
@@ -147,6 +147,9 @@
 }
 
 bool Exchange::CheckRequest() {
+  this->route.reset();
+  this->customer.reset();
+  this->service.reset();
   if (!this->core.Ready()) {
     this->Refuse(503, kRetryAfterNotReady, "not_configured");
     return false;
@@ -155,15 +158,18 @@
     this->Refuse(400, std::nullopt, "no_attempt_id");
     return false;
   }
-  this->route = serving::FindRoute(*this->config, HostName(this->request.host),
-                                   this->request.Path());
+  this->route =
+      PartOf(this->config,
+             serving::FindRoute(*this->config, HostName(this->request.host),
+                                this->request.Path()));
   if (this->route == nullptr || this->route->targets.empty()) {
     this->Refuse(404, std::nullopt, "no_route");
     return false;
   }
   if (!this->config->customers.empty() && !this->route->anonymous) {
     this->customer =
-        serving::FindCustomer(*this->config, this->request.facts.key);
+        PartOf(this->config,
+               serving::FindCustomer(*this->config, this->request.facts.key));
     if (this->customer == nullptr) {
       this->Refuse(401, std::nullopt, "unknown_key");
       return false;
@@ -172,7 +178,8 @@
   std::uniform_real_distribution<double> uniform(0.0, 1.0);
   this->service_name =
       serving::PickTarget(*this->route, uniform(this->core.generator));
-  this->service = serving::FindService(*this->config, this->service_name);
+  this->service = PartOf(
+      this->config, serving::FindService(*this->config, this->service_name));
   this->route_deadline = this->arrived + this->route->timeout;
   this->client_deadline = this->arrived + this->request.facts.deadline.value_or(
                                               this->route->timeout);
--- a/packages/relay/src/exchange_base.h
+++ b/packages/relay/src/exchange_base.h
@@ -30,6 +30,15 @@
 /** Minimum time left before the deadline for a request to be sent again. */
 inline constexpr std::chrono::milliseconds kMinResendTime(150);
 
+/** A part of a configuration, which is kept as long as the part is.
+ * @param part Of @p config; may be null. */
+template <class Part>
+std::shared_ptr<const Part> PartOf(
+    const std::shared_ptr<const serving::ServingConfig>& config,
+    const Part* part) {
+  return part == nullptr ? nullptr : std::shared_ptr<const Part>(config, part);
+}
+
 /** Duration in whole milliseconds, for log lines. */
 inline int64_t Millis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -281,9 +290,11 @@
   serving::ClientRequest request;
   std::shared_ptr<const std::string> body;
   std::shared_ptr<const serving::ServingConfig> config;  ///< At the start.
-  const serving::Route* route = nullptr;
-  const serving::Customer* customer = nullptr;
-  const serving::Service* service = nullptr;
+  // Parts of a configuration, which they keep. Those of a request that waited
+  // may be of an earlier one than config until they are looked up again.
+  std::shared_ptr<const serving::Route> route;
+  std::shared_ptr<const serving::Customer> customer;
+  std::shared_ptr<const serving::Service> service;
   std::string service_name;
   uint64_t fingerprint = 0;
   std::vector<uint64_t> shared_parts;  ///< Ids, in the order of the prompt.
--- a/packages/relay/src/exchange_resume.cc
+++ b/packages/relay/src/exchange_resume.cc
@@ -132,7 +132,8 @@
   if (origin.origin == StreamOrigin::kKnown) {
     // Not the target that was picked: only this service can go on.
     this->service_name = begun_at;
-    this->service = serving::FindService(*this->config, this->service_name);
+    this->service = PartOf(
+        this->config, serving::FindService(*this->config, this->service_name));
   }
   return origin;
 }
