Let the linter pass on the lookups

Cause: a constant result that could not be moved, and a vector without a reserve. Change: as the linter asks. Measured: scripts/lint.sh on the changed files found nothing else.

--- a/packages/fleet/tests/store_contact_test.cc
+++ b/packages/fleet/tests/store_contact_test.cc
@@ -173,8 +173,10 @@
 // that it is about, which is published with the next tick if it is large.
 TEST_F(StoreContactTest, ConfirmedListIsPublishedFirst) {
   this->Configure();
+  constexpr int kServers = 300;
   std::vector<serving::BackendServer> servers;
-  for (int i = 0; i < 300; ++i) {
+  servers.reserve(kServers);
+  for (int i = 0; i < kServers; ++i) {
     servers.push_back(Server("s" + std::to_string(i)));
   }
   this->Apply(ServersRead{12, servers, false});
--- a/packages/serving/src/stream_lookups_base.cc
+++ b/packages/serving/src/stream_lookups_base.cc
@@ -154,7 +154,7 @@
   if (lookup.started < taken_up || !this->IsOver(lookup, now)) {
     return {StreamOrigin::kPending, {}};
   }
-  const StreamVersion concluded = this->Conclude(lookup, known, now);
+  StreamVersion concluded = this->Conclude(lookup, known, now);
   this->Count(lookup, concluded.origin == StreamOrigin::kKnown
                           ? &StreamLookupCounts::only_version
                       : concluded.origin == StreamOrigin::kUnknown
