Do not confirm a list whose entries may be missing, and number lookups at random

Cause (found by reading): for 1.9 s after the store's return or a rise of its era, live servers may be missing from its list, so that a confirmed list might lack the version of a stream. And a restarted node numbered its lookups from 1 again: an answer to its former process, from a node that stood still, could count for another stream. Change: such lists are not confirmed; the numbers begin at a random one.

--- a/packages/fleet/src/list_confirmation_cmd.cc
+++ b/packages/fleet/src/list_confirmation_cmd.cc
@@ -85,7 +85,7 @@
                         std::vector<Effect>& effects) {
   ListConfirmationState& confirmation = state.list_confirmation;
   confirmation.calling = false;
-  if (answer.confirmed) {
+  if (answer.confirmed && !EntriesMayBeMissing(state, now)) {
     confirmation.confirmed = confirmation.asked;
     PublishPendingList(state, now, effects);
     effects.emplace_back(std::in_place_type<StreamEffect>);
--- a/packages/fleet/src/server_list_cmd.cc
+++ b/packages/fleet/src/server_list_cmd.cc
@@ -79,20 +79,6 @@
   PublishServerList(state, now, effects);
 }
 
-/** Whether a server may be missing from the list only because its entry
- * lapsed during a store outage, or was lost when the store came back. */
-bool MayHaveLapsed(const FleetState& state, TimePoint now) {
-  if (!state.following || !state.store_state_known) {
-    return false;  // Nodes that watch the store have already waited before
-                   // they announce a removal.
-  }
-  const auto recent = [&](const std::optional<TimePoint>& since) {
-    return since && now - *since < kServerReturnTime;
-  };
-  return !state.store_reachable || recent(state.store_regained) ||
-         recent(state.servers_era_began);
-}
-
 LogChange ServerLog(const FleetState& state,
                     std::string event,
                     std::string detail) {
@@ -114,7 +100,7 @@
   if (found == state.servers.end()) {
     return;
   }
-  if (!found->second.draining && MayHaveLapsed(state, now)) {
+  if (!found->second.draining && EntriesMayBeMissing(state, now)) {
     state.lapsed_servers.try_emplace(id, now);
     return;
   }
@@ -351,6 +337,18 @@
 
 }  // namespace
 
+bool EntriesMayBeMissing(const FleetState& state, TimePoint now) {
+  if (!state.following || !state.store_state_known) {
+    return false;  // Nodes that watch the store have already waited before
+                   // they announce a removal.
+  }
+  const auto recent = [&](const std::optional<TimePoint>& since) {
+    return since && now - *since < kServerReturnTime;
+  };
+  return !state.store_reachable || recent(state.store_regained) ||
+         recent(state.servers_era_began);
+}
+
 void ApplyServerList(FleetState& state,
                      const ServersRead& read,
                      TimePoint now,
--- a/packages/fleet/src/server_list_cmd.h
+++ b/packages/fleet/src/server_list_cmd.h
@@ -46,6 +46,10 @@
                        TimePoint now,
                        std::vector<Effect>& effects);
 
+/** Whether a server may be missing from the list only because its entry lapsed
+ * during a store outage, or was lost when the store came back. */
+bool EntriesMayBeMissing(const FleetState& state, TimePoint now);
+
 /** Publishes changes that wait for the next tick. */
 void PublishPendingList(FleetState& state,
                         TimePoint now,
--- a/packages/fleet/tests/store_contact_test.cc
+++ b/packages/fleet/tests/store_contact_test.cc
@@ -195,6 +195,32 @@
   EXPECT_EQ(this->FindStream<ReportListConfirmed>()->asked, asked);
 }
 
+// Guards against a confirmed list that lacks servers whose entries lapsed while
+// the store was away, or were lost with it, and are about to be written again.
+TEST_F(StoreContactTest, ListIsNotConfirmedUntilEntriesAreBack) {
+  this->Configure();
+  this->TickFor(seconds(3));
+  const auto is_confirmed = [&] {
+    this->Apply(StreamEvent{ListConfirmationWanted{}});
+    EXPECT_TRUE(this->AsksForConfirmation());
+    this->Apply(StreamEvent{ListConfirmed{true}});
+    return this->FindStream<ReportListConfirmed>() != nullptr;
+  };
+  EXPECT_TRUE(is_confirmed());
+  this->Apply(StoreReachable{false});
+  this->TickFor(seconds(1));
+  this->Apply(StoreReachable{true});
+  EXPECT_FALSE(is_confirmed());
+  this->TickFor(seconds(2));
+  EXPECT_TRUE(is_confirmed());
+  this->Apply(StoreEraRisen{1});
+  this->Apply(ServersRead{5, {Server("s1"), Server("s2")}, false, 1});
+  this->TickFor(kTickPeriod);
+  EXPECT_FALSE(is_confirmed());
+  this->TickFor(seconds(2));
+  EXPECT_TRUE(is_confirmed());
+}
+
 // Guards against calls at the same time, a wish that is lost while a call is
 // under way, and calls in quick succession.
 TEST_F(StoreContactTest, ConfirmationsAreAskedForOneByOne) {
--- a/packages/relay/include/relay/traffic_core_base.h
+++ b/packages/relay/include/relay/traffic_core_base.h
@@ -284,7 +284,7 @@
   /** Members that exchange state with other nodes; not owned. */
   std::vector<serving::SharedState*> shared_states;
   serving::StreamRecords stream_records;
-  serving::StreamLookups stream_lookups{this->stream_records};
+  serving::StreamLookups stream_lookups;
   serving::StreamVersions* stream_versions = &this->stream_lookups;
   std::mt19937_64 generator;
   std::unordered_map<httpio::ServerConnection*, std::shared_ptr<Exchange>>
--- a/packages/relay/src/traffic_core_base.cc
+++ b/packages/relay/src/traffic_core_base.cc
@@ -86,6 +86,7 @@
       shared_states{&this->server_speeds, &this->pool.RateLimits(),
                     &this->stream_records},
       stream_records(limits.first_start, BootClock::now()),
+      stream_lookups(this->stream_records, std::random_device{}()),
       generator(std::random_device{}()),
       demand_updated(BootClock::now()) {
   if (limits.rollout) {
--- a/packages/serving/include/serving/stream_lookups_base.h
+++ b/packages/serving/include/serving/stream_lookups_base.h
@@ -52,9 +52,11 @@
  */
 class StreamLookups : public StreamVersions {
  public:
-  /** @param stream_records What this node knows; must outlive this object. */
-  explicit StreamLookups(StreamRecords& stream_records)
-      : records(stream_records) {}
+  /** @param stream_records What this node knows; must outlive this object.
+   * @param first_number Random, so that an answer to an earlier process of this
+   *     node is not taken for one to this process. */
+  StreamLookups(StreamRecords& stream_records, uint64_t first_number)
+      : records(stream_records), last_number(first_number) {}
 
   /** Sets the way to the other nodes, which must outlive this object. Without
    * one, only the records count. */
@@ -149,7 +151,7 @@
   bool watches_store = false;
   std::unordered_map<uint64_t, Lookup> lookups;  ///< By stream.
   std::map<uint64_t, uint64_t> streams_by_number;
-  uint64_t last_number = 0;
+  uint64_t last_number;
   std::vector<WaitingQuery> waiting_queries;
   std::optional<TimePoint> confirmation_wanted;
   StreamLookupCounts counts;
--- a/packages/serving/tests/stream_lookups_test.cc
+++ b/packages/serving/tests/stream_lookups_test.cc
@@ -14,7 +14,7 @@
   /** Data plane of a node. Datagrams arrive at once. */
   struct Plane : StreamLink {
     Plane(StreamLookupsTest& owner, size_t own_index, StreamRecords& records)
-        : test(owner), index(own_index), lookups(records) {
+        : test(owner), index(own_index), lookups(records, 0) {
       this->lookups.SetLink(*this);
     }
 
