Ask other nodes also about a stream that was recorded as unknown

Cause (found by reading the finished part): a node that was out of touch records a stream as unknown after it has waited, and tells the others. They refused the stream then without asking those that know its version. Change: such a record ends a lookup only if nobody answers with a version; it never turns into the only version.

--- a/packages/serving/include/serving/stream_lookups_base.h
+++ b/packages/serving/include/serving/stream_lookups_base.h
@@ -129,7 +129,8 @@
   /** Whether enough nodes have answered that know all versions, so that one of
    * them would have been told of the stream. */
   static bool HasEnoughAnswers(const Lookup& lookup);
-  /** Version of a stream without a record, after the end of its lookup.
+  /** Version of a stream after the end of its lookup, which has brought no
+   * record of its version.
    * @param known What the records tell. */
   StreamVersion Conclude(const Lookup& lookup,
                          StreamVersion known,
--- a/packages/serving/src/stream_lookups_base.cc
+++ b/packages/serving/src/stream_lookups_base.cc
@@ -126,8 +126,10 @@
                                   TimePoint now) {
   const NameHash name = HashName(service);
   const uint64_t stream = HashStream(name, attempt_id);
+  // Another node may know what was recorded as unknown here.
   const auto is_known = [&](const StreamVersion& known) {
-    return known.recorded || this->link == nullptr || this->nodes == 1;
+    return (known.recorded && known.origin == StreamOrigin::kKnown) ||
+           this->link == nullptr || this->nodes == 1;
   };
   StreamVersion known = this->records.Find(service, attempt_id, now);
   auto found = this->lookups.find(stream);
@@ -235,6 +237,9 @@
 StreamVersion StreamLookups::Conclude(const Lookup& lookup,
                                       StreamVersion known,
                                       TimePoint now) const {
+  if (known.recorded) {
+    return known;
+  }
   const bool any_current = std::ranges::any_of(
       lookup.asked, [](const auto& node) { return node.second.current; });
   const bool enough = StreamLookups::HasEnoughAnswers(lookup);
--- a/packages/serving/tests/stream_lookups_test.cc
+++ b/packages/serving/tests/stream_lookups_test.cc
@@ -350,6 +350,33 @@
   EXPECT_GE(went_on, kStreams * 97 / 100);
 }
 
+// Guards against a stream that a node which was out of touch has recorded as
+// unknown, and told others so, although some know its version.
+TEST_F(StreamLookupsTest, UnknownRecordDoesNotHideAnother) {
+  this->Grow(12);
+  this->RegisterAndList({"v1", "v2"});
+  this->Run(seconds(5));
+  for (size_t node = 1; node < 12; ++node) {
+    this->planes[node]->lookups.RecordUnknown(kService, "a", this->now);
+  }
+  this->BeginStream(0, "a", "v2");
+  for (size_t node = 1; node < 12; ++node) {
+    this->ExpectGoesOn(node, "a", "v2");
+  }
+}
+
+// Guards against the only version for a stream that a server began whose
+// version was in doubt.
+TEST_F(StreamLookupsTest, StreamOfAnUnknownVersionIsRefused) {
+  this->Grow(6);
+  this->RegisterAndList({"v1"});
+  this->Run(seconds(5));
+  this->BeginStream(0, "unsure", kUnknownVersion);
+  for (size_t node = 0; node < 6; ++node) {
+    this->ExpectRefused(node, "unsure");
+  }
+}
+
 // Guards against a single lost datagram that costs a client its stream.
 TEST_F(StreamLookupsTest, QuestionsAreRepeated) {
   this->RegisterAndList({"v1", "v2"});
