Tell other nodes which servers are listed only in case they return

Cause: a node that has regained the store keeps servers that its list lacks for 1.9 s, as their entries may only have lapsed. It passed them on like the others, at the revision of the store's list. Nodes that had learned of the removal from other watchers of the store took the server as ready again. The removal was told as a change only if the node still watched the store after the 1.9 s; a node that is not among the first three watchers stops within 1.2 s.

Change: a fetched list names the servers that the sender only keeps. The receiver keeps what it knows of their departure, and otherwise removes them itself after the same time. The names follow the known fields; an earlier build ignores them, and tells none.

Measured: both new tests of StoreContactTest fail without the handling of the names. The formats' tests count one more earlier version, as strictly as before.

--- a/packages/fleet/include/fleet/departure_memory_base.h
+++ b/packages/fleet/include/fleet/departure_memory_base.h
@@ -47,6 +47,10 @@
   ListedAs JudgeListed(const serving::BackendServer& listed,
                        const ListOrder& position) const;
 
+  /** How to use an entry of a complete list that another node only keeps in
+   * case the server returns. */
+  ListedAs JudgeLapsed(const serving::BackendServer& listed) const;
+
   /** How to use an entry that was written at the given position. */
   ListedAs JudgeChanged(const serving::BackendServer& changed,
                         const ListOrder& position) const;
--- a/packages/fleet/include/fleet/fleet_cmd.h
+++ b/packages/fleet/include/fleet/fleet_cmd.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <set>
+#include <string>
 #include <vector>
 
 #include "fleet/fleet_type.h"
@@ -42,6 +44,9 @@
  * lapsed or are withheld have no revision. */
 std::vector<serving::BackendServer> ServersForPeers(const FleetState& state);
 
+/** Ids of those of ServersForPeers() that are kept only in case they return. */
+std::set<std::string> LapsedServersForPeers(const FleetState& state);
+
 /**
  * Addresses of the nodes that a client should use while no node is ready: the
  * nodes that were told to stop last, because they keep serving for the longest
--- a/packages/fleet/include/fleet/fleet_type.h
+++ b/packages/fleet/include/fleet/fleet_type.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -78,6 +79,9 @@
   std::vector<serving::BackendServer> servers;
   bool from_peer = false;
   uint64_t era = 0;  ///< Of the store.
+  /** Ids of those of servers that the other node keeps only in case they
+   * return. */
+  std::set<std::string> lapsed = {};
 };
 
 /** One server was changed, or removed if @c server is empty. */
--- a/packages/fleet/src/departure_memory_base.cc
+++ b/packages/fleet/src/departure_memory_base.cc
@@ -73,6 +73,15 @@
   return departure->removed ? ListedAs::kRemoved : ListedAs::kDraining;
 }
 
+ListedAs DepartureMemory::JudgeLapsed(
+    const serving::BackendServer& listed) const {
+  const Departure* departure = this->Find(listed);
+  if (departure == nullptr) {
+    return ListedAs::kListed;
+  }
+  return departure->removed ? ListedAs::kRemoved : ListedAs::kDraining;
+}
+
 ListedAs DepartureMemory::JudgeChanged(const serving::BackendServer& changed,
                                        const ListOrder& position) const {
   const Departure* departure = this->Find(changed);
--- a/packages/fleet/src/server_list_cmd.cc
+++ b/packages/fleet/src/server_list_cmd.cc
@@ -189,6 +189,25 @@
   }
 }
 
+/** Adds a server that another node keeps only in case it returns. That node may
+ * not tell when it gives up, so this one waits itself. */
+void AddLapsedServer(FleetState& state,
+                     serving::BackendServer server,
+                     TimePoint now,
+                     std::vector<Effect>& effects) {
+  const ListedAs listed_as = state.departed.JudgeLapsed(server);
+  if (listed_as == ListedAs::kRemoved) {
+    RemoveServer(state, server.id, now, effects);
+    return;
+  }
+  server.draining |= listed_as == ListedAs::kDraining;
+  const auto known = state.lapsed_servers.find(server.id);
+  const TimePoint since =
+      known == state.lapsed_servers.end() ? now : known->second;
+  AddServer(state, server, now, effects);
+  state.lapsed_servers.emplace(server.id, since);
+}
+
 /** Removes the servers that a complete list lacks. */
 void RemoveUnlistedServers(FleetState& state,
                            const std::set<std::string>& listed,
@@ -374,6 +393,10 @@
   std::set<std::string> listed;
   for (const serving::BackendServer& server : read.servers) {
     listed.insert(server.id);
+    if (read.lapsed.contains(server.id)) {
+      AddLapsedServer(state, server, now, effects);
+      continue;
+    }
     AddListedServer(state, server, read.from_peer, era_rises, now, effects);
   }
   RemoveUnlistedServers(state, listed, era_rises, now, effects);
@@ -459,6 +482,16 @@
   return servers;
 }
 
+std::set<std::string> LapsedServersForPeers(const FleetState& state) {
+  std::set<std::string> ids;
+  if (state.following) {
+    for (const auto& [id, since] : state.lapsed_servers) {
+      ids.insert(id);
+    }
+  }
+  return ids;
+}
+
 void AdvanceServerList(FleetState& state,
                        TimePoint now,
                        std::vector<Effect>& effects) {
--- a/packages/fleet/tests/store_contact_test.cc
+++ b/packages/fleet/tests/store_contact_test.cc
@@ -221,6 +221,46 @@
   EXPECT_TRUE(is_confirmed());
 }
 
+// Guards against requests to a removed server at nodes that have fetched the
+// list of a node which kept the server in case it returned, and which no longer
+// watched the store when it gave up (DRAIN on ascb-wharf-grown, day
+// outage-of-some-beside-leaves).
+TEST_F(StoreContactTest, ServerThatAnotherNodeKeepsInCaseItReturnsIsRemoved) {
+  this->Configure();
+  this->HearFollowers(seconds(3));
+  ASSERT_FALSE(this->state.following);
+  const std::vector<serving::BackendServer> both = {Server("s1"), Server("s2")};
+  this->Apply(ServersRead{30, both, true, 0, {"s1"}});
+  EXPECT_TRUE(this->state.servers.contains("s1"));
+  this->HearFollowers(seconds(1));
+  this->Apply(ServersRead{31, both, true, 0, {"s1"}});
+  EXPECT_TRUE(this->state.servers.contains("s1"));
+  this->HearFollowers(seconds(1));
+  EXPECT_FALSE(this->state.servers.contains("s1"));
+  this->Apply(ServersRead{32, both, true, 0, {"s1"}});
+  EXPECT_FALSE(this->state.servers.contains("s1")) << "known as removed";
+  this->HearFollowers(seconds(3));
+  EXPECT_TRUE(this->state.servers.contains("s2"));
+  this->Apply(ServersRead{33, both, true});
+  EXPECT_TRUE(this->state.servers.contains("s1")) << "it has returned";
+  this->HearFollowers(seconds(3));
+  EXPECT_TRUE(this->state.servers.contains("s1"));
+}
+
+// Guards against new requests to a server whose departure was announced, at a
+// node that fetches a list which still has it.
+TEST_F(StoreContactTest, AnnouncedDepartureOutlastsListWithLapsedServer) {
+  this->Configure();
+  this->HearFollowers(seconds(3));
+  auto message = this->Message(Followers().front(), 1000);
+  message.departures = {serving::HashName("s1")};
+  message.status.servers_revision = 30;
+  this->Apply(PeerMessageReceived{message});
+  ASSERT_TRUE(this->state.servers.at("s1").draining);
+  this->Apply(ServersRead{30, {Server("s1"), Server("s2")}, true, 0, {"s1"}});
+  EXPECT_TRUE(this->state.servers.at("s1").draining);
+}
+
 // Guards against calls at the same time, a wish that is lost while a call is
 // under way, and calls in quick succession.
 TEST_F(StoreContactTest, ConfirmationsAreAskedForOneByOne) {
--- a/packages/node/include/node/peer_codec.h
+++ b/packages/node/include/node/peer_codec.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
   // Not sent by earlier versions.
   uint64_t config_era = 0;   ///< Era of the store for config_revision.
   uint64_t servers_era = 0;  ///< Era of the store for servers_revision.
+  /** Ids of those of servers that this node keeps only in case they return. */
+  std::set<std::string> lapsed;
 };
 
 /** State that a peer has when it asks for newer state. */
--- a/packages/node/src/control_loop_base.cc
+++ b/packages/node/src/control_loop_base.cc
@@ -448,7 +448,8 @@
                                        fetched->changes, fetched->servers_era});
   } else if (fetched->servers_known) {
     this->Handle(fleet::ServersRead{fetched->servers_revision, fetched->servers,
-                                    true, fetched->servers_era});
+                                    true, fetched->servers_era,
+                                    fetched->lapsed});
   }
   return true;
 }
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -11,6 +11,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <set>
@@ -322,6 +323,7 @@
   reply.full_list = NeedsFullList(state, known);
   if (reply.full_list) {
     reply.servers = fleet::ServersForPeers(state);
+    reply.lapsed = fleet::LapsedServersForPeers(state);
     return reply;
   }
   // Only the newest change of each server.
@@ -343,7 +345,7 @@
   {
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(state, MakeServerDetails(state), state.config_era,
-            state.servers_era);
+            state.servers_era, state.lapsed);
   }
   return stream.str();
 }
@@ -361,6 +363,9 @@
     if (!reader.AtEnd()) {
       reader(state.config_era, state.servers_era);
     }
+    if (!reader.AtEnd()) {
+      reader(state.lapsed);
+    }
     return state;
   } catch (const std::exception&) {
     return std::nullopt;  // As in DecodePeerMessage().
--- a/packages/node/tests/node_test.cc
+++ b/packages/node/tests/node_test.cc
@@ -207,6 +207,27 @@
   EXPECT_EQ(slightly_behind.changes.size(), 1U);
 }
 
+// Guards against a node that takes a server for a listed one that the sender
+// only keeps in case it returns.
+TEST(PeerCodecTest, ListTellsWhichServersHaveLapsed) {
+  fleet::FleetState state{fleet::FleetSettings{}};
+  state.servers_known = true;
+  state.servers["s1"].id = "s1";
+  state.servers["s2"].id = "s2";
+  state.lapsed_servers["s1"] = {};
+  state.following = true;
+  const auto followed =
+      DecodePeerState(EncodePeerState(MakePeerState(state, {})));
+  ASSERT_TRUE(followed);
+  EXPECT_EQ(followed->servers.size(), 2U);
+  EXPECT_EQ(followed->lapsed, std::set<std::string>{"s1"});
+  state.following = false;
+  const auto told = DecodePeerState(EncodePeerState(MakePeerState(state, {})));
+  ASSERT_TRUE(told);
+  EXPECT_EQ(told->servers.size(), 1U);
+  EXPECT_TRUE(told->lapsed.empty());
+}
+
 // Guards against an extension that takes more memory than its bound, or keeps
 // the rest of the message from being read.
 TEST(PeerCodecTest, OversizedExtensionsAreDropped) {
@@ -246,10 +267,11 @@
     ASSERT_EQ(earlier->servers.size(), 2U);
     EXPECT_EQ(earlier->servers[0].id, "s0");
   }
-  // The states as the two earlier versions send them.
-  ASSERT_EQ(complete.size(), 2U);
+  // The states as the three earlier versions send them.
+  ASSERT_EQ(complete.size(), 3U);
   EXPECT_TRUE(complete[0].servers[0].version.empty());
   EXPECT_EQ(complete[1].servers, state.servers) << "without eras";
+  EXPECT_EQ(complete[2].servers, state.servers) << "without lapsed servers";
 }
 
 TEST(DecompressTest, CorruptInputIsRejected) {
--- a/packages/node/tests/state_versions_test.cc
+++ b/packages/node/tests/state_versions_test.cc
@@ -89,8 +89,14 @@
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->config_era, 3U);
   EXPECT_EQ(decoded->servers_era, 4U);
+  // The number of lapsed servers is the last field, the eras come before it.
+  const size_t with_eras = bytes.size() - sizeof(uint64_t);
+  const auto later_build = DecodePeerState(bytes.substr(0, with_eras));
+  ASSERT_TRUE(later_build);
+  EXPECT_EQ(later_build->servers_era, 4U);
+  EXPECT_EQ(later_build->servers.size(), 1U);
   const auto old_build =
-      DecodePeerState(bytes.substr(0, bytes.size() - 2 * sizeof(uint64_t)));
+      DecodePeerState(bytes.substr(0, with_eras - 2 * sizeof(uint64_t)));
   ASSERT_TRUE(old_build);
   EXPECT_EQ(old_build->servers_era, 0U);
   EXPECT_EQ(old_build->servers.size(), 1U);
