--- a/packages/lease/tests/lease_simulation.h
+++ b/packages/lease/tests/lease_simulation.h
@@ -374,7 +374,7 @@
                   this->Latency());
   }
 
-  /** Checks that there is a holder in time after the last disturbance, and
+  /** Checks that there is a holder in time after the last fault, and
    * that it stays. A call that is under way, a backoff and a read come before a
    * member sees the record; a lease time follows, then a read that is under way
    * at its end, and the write or the order lifetime, whichever is longer. */
